--- /dev/null
+++ b/copperyard/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a session controller for streamed video."""
