--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -13,42 +13,20 @@
 import math
 import random
 from collections import deque
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 from .interface import (
-    Action,
-    Carried,
-    ClassSettings,
-    Code,
-    Effect,
-    Event,
-    Fail,
-    Left,
-    ListKind,
-    Log,
-    Note,
-    NoteKind,
-    Opened,
-    Outcome,
-    Probed,
-    Rate,
-    Refuse,
-    Report,
-    Request,
-    Send,
-    ServerEntry,
-    ServerList,
-    ServerState,
-    SetTimer,
-    Settings,
-    Wake,
-    Watch,
+    Action, Carried, ClassSettings, Code, Effect, Event, Fail, Left, ListKind, Log, Note, NoteKind, Opened,
+    Outcome, Probe, Probed, Rate, Refuse, Report, Request, Send, ServerEntry, ServerList, ServerState,
+    SetTimer, Settings, Wake, Watch
 )
 
 MS = 1_000_000
 SECOND = 1_000_000_000
 
 MARK = 0.9  # fraction of a link or uplink that set-ups may fill; the paper advises 90% (section 5)
+SPREAD = 0.3  # how far the mark falls for a rung whose last step brings no worth
 SHED_AT = 0.98  # fraction from which playing sessions are lowered: under this share worth is lost
 UP_MARK = 0.8  # fraction that raising playing sessions may fill; the rest is kept for newcomers
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
@@ -64,10 +42,14 @@
 RETEST = SECOND  # first wait before a trial of a bad server; doubles with each failure
 RETEST_MOST = 8 * SECOND  # longest such wait: outages seen last 5 to 30 s
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
+PROBES = 1  # probes that one session may wait for
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
 SILENT = 0.2  # a delivered share below this is a stopped server, not a full link
 
 
+NEVER = -(1 << 62)  # a time before any clock
+
+
 class Phase(IntEnum):
     """Where a session stands."""
 
@@ -76,23 +58,27 @@
     PLAYING = 2
 
 
+@dataclass(slots=True)
 class Meter:
-    """Ledger of one link or uplink: the last report or note, plus this front's own changes since."""
-
-    __slots__ = ("cap", "own", "seen", "seen_own", "seen_at", "trail", "other_fronts")
-
-    def __init__(self, cap: float, fronts: int) -> None:
-        self.cap, self.other_fronts = cap, fronts - 1
-        self.own = 0.0
-        self.seen: float | None = None
-        self.seen_own, self.seen_at = 0.0, -1
-        self.trail: deque[tuple[int, float]] = deque()
+    """Ledger of one link or uplink: the last report or note, plus this front's own changes since.
+
+    What other fronts ask there is the rest of the evidence. Since that evidence, and where there is
+    none, they are taken to have changed as this front's load on the whole fleet (`fleet`) did: notes
+    reach all fronts at once, and each would else fill the same room (herding)."""
+
+    cap: float
+    others: int
+    fleet: Meter | None
+    own: float = 0.0
+    seen: float = 0.0
+    seen_own: float = 0.0
+    seen_fleet: float = 0.0
+    seen_at: int = -1
+    trail: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=64))
 
     def add(self, now: int, kb: float) -> None:
         self.own = max(0.0, self.own + kb)
         self.trail.append((now, self.own))
-        if len(self.trail) > 64:
-            self.trail.popleft()
 
     def learn(self, value: float, at: int) -> None:
         """Take evidence that speaks of the time `at`; older evidence than held is dropped."""
@@ -102,65 +88,66 @@
         while self.trail and self.trail[0][0] <= at:
             own = self.trail.popleft()[1]
         self.trail.appendleft((at, own))
-        self.seen, self.seen_own, self.seen_at = value, own, at
+        self.seen, self.seen_own, self.seen_at, self.seen_fleet = value, own, at, self.prior()
+
+    def prior(self) -> float:
+        """Load of the other fronts where each is as busy as this one."""
+        return self.others * self.fleet.own / max(self.fleet.cap, 1.0) if self.fleet else 0.0
 
     def used(self) -> float:
-        """kB asked of it. What this front added since the evidence, the others are taken to have too:
-        notes reach all fronts at once, and each would else fill the same room (herding)."""
-        if self.seen is None:
-            return self.own * (1 + self.other_fronts)
-        other = max(0.0, self.seen * self.cap - self.seen_own)
-        return other + self.own + self.other_fronts * max(0.0, self.own - self.seen_own)
+        other = max(0.0, self.seen - self.seen_own / self.cap) + self.prior() - self.seen_fleet
+        return max(0.0, other) * self.cap + self.own
 
     def load(self) -> float:
         return self.used() / self.cap
 
-    def room(self, mark: float) -> float:
-        return mark * self.cap - self.used()
-
 
+@dataclass(slots=True)
 class Session:
-    """One request and what came of it."""
-
-    __slots__ = ("ref", "cls", "kind", "top", "deadline", "title", "home", "holders", "hint", "rung", "server",
-                 "phase", "attempts", "began", "ends", "stepped", "left", "trial")
-
-    def __init__(self, r: Request, kind: ClassSettings, top: int, now: int, tick: int) -> None:
-        self.ref, self.cls, self.kind, self.title = r.ref, r.cls, kind, r.title
-        self.home, self.holders, self.hint = r.home, r.holders, r.hint
-        self.top = min(r.top, kind.top, top)
-        self.deadline = min(r.deadline, now + kind.deadline) - tick
-        self.rung = kind.floor
-        self.server: Server | None = None
-        self.phase = Phase.HELD
-        self.attempts = 0
-        self.began, self.ends, self.stepped = now, 0, -PACE
-        self.left = self.trial = False
-
-
+    """One request and what came of it. `deadline` is the last time at which it can be answered."""
+
+    r: Request
+    kind: ClassSettings
+    top: int
+    began: int
+    deadline: int
+    rung: int
+    server: Server | None = None
+    phase: Phase = Phase.HELD
+    attempts: int = 0
+    probes: int = 0
+    ends: int = 0
+    stepped: int = NEVER
+    left: bool = False
+    trial: bool = False
+
+
+@dataclass(slots=True)
 class Server:
-    """Ledger and standing of one server. Buckets hold this front's playing sessions that are alike:
-    of one class and rung, and where titles are live also of one title, as those share a stream."""
-
-    __slots__ = ("id", "link", "rack", "zone", "cell", "places", "state", "started", "streams", "buckets",
-                 "shed_at", "fails", "bad", "retest", "trial_out", "lost", "sent", "probed", "full_at")
-
-    def __init__(self, e: ServerEntry, link: Meter, rack: Meter) -> None:
-        self.id, self.link, self.rack = e.server, link, rack
-        self.zone, self.cell, self.places, self.state, self.started = e.zone, e.cell, 1, e.state, e.started
-        self.streams = 0
-        self.buckets: dict[tuple[int, int, int], dict[int, Session]] = {}
-        self.shed_at = self.probed = self.sent = -1 << 62
-        self.full_at = -1 << 62
-        self.fails, self.bad, self.retest = 0, 0.0, 0
-        self.trial_out = False
-        self.lost = 0
+    """Ledger and standing of one server. Buckets hold this front's sessions there that are alike: of one
+    class and rung, and where titles are live also of one title, as those share a stream."""
+
+    entry: ServerEntry
+    places: int
+    link: Meter
+    rack: Meter
+    streams: int = 0
+    buckets: dict[tuple[int, int, int], dict[int, Session]] = field(default_factory=dict)
+    shed_at: int = NEVER
+    probed: int = NEVER
+    sent: int = NEVER
+    lost: int = NEVER
+    retest: int = NEVER
+    fails: int = 0
+    bad: float = 0.0
+    trial_out: bool = False
+    gone: bool = False
 
     def load(self) -> float:
         return max(self.link.load(), self.rack.load())
 
     def room(self, mark: float) -> float:
-        return min(self.link.room(mark), self.rack.room(mark))
+        return min(m.cap * mark - m.used() for m in (self.link, self.rack))
 
 
 class Controller:
@@ -172,6 +159,7 @@
         self.servers: dict[int, Server] = {}
         self.cells: dict[int, list[Server]] = {}
         self.racks: dict[int, Meter] = {}
+        self.fleet = Meter(0.0, 0, None)
         self.sessions: dict[int, Session] = {}
         self.held: dict[int, Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
@@ -180,6 +168,8 @@
         self.start = -1
         self.carried = False
         self.took = 100.0 * MS
+        self.best = max(settings.rung_worth[k.floor] / settings.rung_kb[k.floor] * k.worth / k.scale
+                        for k in settings.classes)
         self.pumps = 0
         self.out: list[Action] = []
 
@@ -191,75 +181,74 @@
             self.out.append(SetTimer(now + PUMP, 0))
             if self.set.subscribe:
                 self.out.append(Watch(True))
-        if isinstance(event, Request):
-            self._request(now, event)
-        elif isinstance(event, Outcome):
-            self._outcome(now, event)
-        elif isinstance(event, Note):
-            self._note(now, event)
-        elif isinstance(event, Opened):
-            self._opened(now, event)
-        elif isinstance(event, Wake):
-            self._wake(now, event)
-        elif isinstance(event, ServerList):
-            self._list(now, event)
-        elif isinstance(event, Probed):
-            self._probed(now, event)
-        elif isinstance(event, Left):
-            self._left(event)
-        elif isinstance(event, Carried):
-            self._carried(now, event)
+        match event:
+            case Request():
+                self._request(now, event)
+            case Outcome():
+                self._outcome(now, event)
+            case Note():
+                self._note(now, event)
+            case Opened():
+                self._opened(now, event)
+            case Wake():
+                self._wake(now, event)
+            case ServerList():
+                self._list(now, event)
+            case Probed():
+                self._probed(now, event)
+            case Left():
+                self._left(event)
+            case Carried():
+                self._carried(now, event)
         return self.out
 
     # ---- server list
 
     def _list(self, now: int, event: ServerList) -> None:
-        if event.kind == ListKind.FAILED:
-            if self.set.subscribe:
-                self.out.append(SetTimer(now + SECOND, 1))
-            return
+        if event.kind == ListKind.FAILED and self.set.subscribe:
+            self.out.append(SetTimer(now + SECOND, 1))
         if event.kind not in (ListKind.FULL, ListKind.DELTA, ListKind.CACHED):
             return
-        named = {}
-        for entry in event.entries:
-            named[entry.server] = True
-            self._entry(now, entry)
         if event.kind != ListKind.DELTA:
             for server in self.servers.values():
-                if server.id not in named:
-                    server.state = ServerState.GONE
+                server.gone = True  # but for those named below
+        for entry in event.entries:
+            self._entry(now, entry)
 
     def _entry(self, now: int, e: ServerEntry) -> None:
+        s = self.set
         server = self.servers.get(e.server)
-        link_kb = (e.weight if 0 < e.weight < 1e6 else 1.0) * self.set.weight_kb
+        places = s.places_by_kind[e.kind] if e.kind < len(s.places_by_kind) else min(s.places_by_kind)
         if server is None:
-            rack = self.racks.get(e.cell % self.set.racks)
-            if rack is None:
-                rack = Meter(self.set.uplink_kb or math.inf, self.set.fronts)
-                self.racks[e.cell % self.set.racks] = rack
-            server = Server(e, Meter(link_kb, self.set.fronts), rack)
+            rack = self.racks.setdefault(e.cell % s.racks, Meter(s.uplink_kb or 1e12, s.fronts - 1, self.fleet))
+            server = Server(e, places, Meter(0.0, s.fronts - 1, self.fleet), rack)
             self.servers[e.server] = server
-            self.cells.setdefault(e.cell, []).append(server)
-        elif e.started != server.started and e.started:
-            # restarted: what was known of its link is of its life before
-            server.link.seen, server.fails, server.bad, server.retest = None, 0, 0.0, 0
-        if server.cell != e.cell:
-            self.cells[server.cell].remove(server)
-            self.cells.setdefault(e.cell, []).append(server)
-            server.cell = e.cell
+        else:
+            self.cells[server.entry.cell].remove(server)
+            if e.started and e.started != server.entry.started:
+                # restarted: what was known of its link and health is of its life before
+                server.link.learn(0.0, now)
+                server.fails, server.bad, server.retest = 0, 0.0, NEVER
+        self.cells.setdefault(e.cell, []).append(server)
+        server.entry, server.places, server.gone = e, places, e.state != ServerState.READY
+        link_kb = (e.weight if 0 < e.weight < 1e6 else 1.0) * s.weight_kb
+        self.fleet.cap += link_kb - server.link.cap
         server.link.cap = link_kb
-        server.zone, server.state, server.started = e.zone, e.state, e.started
-        kinds = self.set.places_by_kind
-        server.places = kinds[e.kind] if e.kind < len(kinds) else min(kinds)
 
     # ---- requests
 
+    def _session(self, now: int, r: Request) -> Session:
+        kind = self.set.classes[r.cls]
+        top = min(r.top, kind.top, len(self.set.rung_kb) - 1)
+        deadline = min(r.deadline, now + kind.deadline) - self.set.tick
+        session = self.sessions[r.ref] = Session(r, kind, top, now, deadline, kind.floor)
+        return session
+
     def _request(self, now: int, r: Request) -> None:
         if r.ref in self.sessions or r.cls >= len(self.set.classes):
             return
         self.taken.append(now)
-        session = Session(r, self.set.classes[r.cls], len(self.set.rung_kb) - 1, now, self.set.tick)
-        self.sessions[r.ref] = session
+        session = self._session(now, r)
         if session.top < session.kind.floor:
             self._refuse(session)  # no rung is both allowed and usable: waiting cannot help
         elif not self._place(now, session):
@@ -271,25 +260,24 @@
         if server is None or r.ref in self.sessions or r.cls >= len(self.set.classes):
             return
         self.carried = True
-        session = Session(r, self.set.classes[r.cls], len(self.set.rung_kb) - 1, now, self.set.tick)
+        session = self._session(now, r)
         session.attempts = 1
-        self.sessions[r.ref] = session
         self._reserve(now, session, server, session.rung)
         self._start_play(now, session)
 
     def _hold(self, now: int, session: Session) -> None:
         session.phase = Phase.HELD
-        self.held[session.ref] = session
-        self.out.append(SetTimer(max(now, session.deadline), session.ref + 2))
+        self.held[session.r.ref] = session
+        self.out.append(SetTimer(max(now, session.deadline), session.r.ref + 2))
 
     def _refuse(self, session: Session) -> None:
         again = self.set.max_retry_after if self.set.retry_after else 0
-        self.out.append(Refuse(session.ref, again))
+        self.out.append(Refuse(session.r.ref, again))
         self._forget(session)
 
     def _forget(self, session: Session) -> None:
-        self.held.pop(session.ref, None)
-        self.sessions.pop(session.ref, None)
+        self.held.pop(session.r.ref, None)
+        self.sessions.pop(session.r.ref, None)
 
     # ---- choice of a server
 
@@ -299,8 +287,8 @@
             return False
         legal: list[Server] = []
         trials: list[Server] = []
-        for j in range(min(session.holders, self.set.cells)):
-            for server in self.cells.get((session.home + j) % self.set.cells, ()):
+        for j in range(min(session.r.holders, self.set.cells)):
+            for server in self.cells.get((session.r.home + j) % self.set.cells, ()):
                 if self._may_send(now, session, server):
                     if server.bad <= BAD:
                         legal.append(server)
@@ -319,6 +307,8 @@
                 fits.append((server, rung))
         if fits:
             server, rung = self._draw(session, fits)
+            if self._ask(now, session, server):
+                return False
             return self._send(now, session, server, rung)
         if legal:
             server = self._draw(session, [(one, 0) for one in legal])[0]
@@ -327,15 +317,26 @@
                 return self._send(now, session, server, rung)
         return False
 
+    def _ask(self, now: int, session: Session, server: Server) -> bool:
+        """Where load is told by probes alone, look before the send, as a cub asks the next one."""
+        if not self.set.probes or self.set.reports_in_answers or session.probes >= PROBES \
+                or now - server.link.seen_at < PROBE_AGE + REPORT_LAG:
+            return False
+        session.probes += 1
+        if now - server.probed > PROBE_AGE:
+            server.probed = now
+            self.out.append(Probe(server.entry.server))
+        return True
+
     def _draw(self, session: Session, fits: list[tuple[Server, int]]) -> tuple[Server, int]:
-        near = [one for one in fits if one[0].zone == self.set.zone]
+        near = [one for one in fits if one[0].entry.zone == self.set.zone]
         if near and self.set.price_cross_zone > 0:
             worth = self.set.rung_worth
             best = max(rung for _, rung in near)
             if max(worth[rung] for _, rung in fits) - worth[best] < 2 * self.set.price_cross_zone:
                 fits = near
         if session.kind.live and self.set.join_adds < 1:
-            joined = [one for one in fits if (session.cls, one[1], session.title) in one[0].buckets]
+            joined = [one for one in fits if (session.r.cls, one[1], session.r.title) in one[0].buckets]
             fits = joined or fits
         one = fits[self.random.randrange(len(fits))]
         two = fits[self.random.randrange(len(fits))]
@@ -349,30 +350,38 @@
     def _adds(self, session: Session, server: Server, rung: int) -> float:
         """kB that the session adds at a server: a live title's further viewer adds only a part."""
         rate = self._rate(session.kind, rung)
-        if session.kind.live and server.buckets.get((session.cls, rung, session.title)):
+        if session.kind.live and server.buckets.get((session.r.cls, rung, session.r.title)):
             return rate * self.set.join_adds
         return rate
 
     def _fit(self, session: Session, server: Server) -> int:
         """The highest rung that fits under the mark on link and uplink, or -1."""
-        room = server.room(MARK)
         for rung in range(session.top, session.kind.floor - 1, -1):
-            if self._adds(session, server, rung) <= room:
+            if self._adds(session, server, rung) <= server.room(self._mark(session.kind, rung)):
                 return rung
         return -1
 
+    def _mark(self, kind: ClassSettings, rung: int) -> float:
+        """The mark, lower for rungs whose last step brings less worth per kB: under overload the highest
+        fitting rung would starve those who come next, at the other fronts too."""
+        if rung <= kind.floor:
+            return MARK
+        kb, worth = self.set.rung_kb, self.set.rung_worth
+        step = (worth[rung] - worth[rung - 1]) / (kb[rung] - kb[rung - 1])
+        return MARK - SPREAD * max(0.0, 1 - step * kind.worth / kind.scale / self.best)
+
     # ---- guards
 
     def _may_send(self, now: int, session: Session, server: Server) -> bool:
         """The one place that says whether a send is legal. Every send passes it."""
         s = self.set
-        if server.state != ServerState.READY:
+        if server.gone:
             return False  # drains: the grace is not used
         if session.attempts >= s.max_attempts or session.phase != Phase.HELD:
             return False
         if server.streams >= server.places:
             return False
-        if session.kind.seats and self.seats.get((session.cls, session.title), 0) >= session.kind.seats:
+        if session.kind.seats and self.seats.get((session.r.cls, session.r.title), 0) >= session.kind.seats:
             return False
         if session.attempts and s.free_resends is not None:
             while self.taken and self.taken[0] <= now - s.ratio_span:
@@ -392,9 +401,9 @@
     def _cold(self, now: int, server: Server) -> bool:
         """Told of its start, witnessed its failure, or started after it."""
         warm = self.set.warm_within
-        if server.started and now < server.started + warm:
+        if server.entry.started and now < server.entry.started + warm:
             return True
-        if server.lost and now < server.lost + warm:
+        if now < server.lost + warm:
             return True
         return not self.carried and now < self.start + warm
 
@@ -406,7 +415,7 @@
         session.trial = server.bad > BAD
         server.trial_out = server.trial_out or session.trial
         server.sent = now
-        self.held.pop(session.ref, None)
+        self.held.pop(session.r.ref, None)
         session.phase = Phase.OUT
         session.attempts += 1
         self._reserve(now, session, server, rung)
@@ -415,47 +424,47 @@
             aim = session.began + session.kind.aim
             until = aim if aim > now + LIMIT_LEAST else session.deadline
             limit = max(LIMIT_LEAST, min(int(LIMIT_TOOK * self.took), int(LIMIT_SHARE * (until - now)))) + now
-        self.out.append(Rate(session.ref, rung))
-        self.out.append(Send(session.ref, server.id, min(limit, session.deadline)))
+        self.out.append(Rate(session.r.ref, rung))
+        self.out.append(Send(session.r.ref, server.entry.server, min(limit, session.deadline)))
         return True
 
     def _reserve(self, now: int, session: Session, server: Server, rung: int) -> None:
         kb = self._adds(session, server, rung)
         session.server, session.rung = server, rung
-        key = (session.cls, rung, session.title if session.kind.live else 0)
-        server.buckets.setdefault(key, {})[session.ref] = session
-        server.link.add(now, kb)
-        server.rack.add(now, kb)
+        key = (session.r.cls, rung, session.r.title if session.kind.live else 0)
+        server.buckets.setdefault(key, {})[session.r.ref] = session
+        for meter in (server.link, server.rack, self.fleet):
+            meter.add(now, kb)
         server.streams += 1
         if session.kind.seats:
-            seat = (session.cls, session.title)
+            seat = (session.r.cls, session.r.title)
             self.seats[seat] = self.seats.get(seat, 0) + 1
 
     def _release(self, now: int, session: Session) -> None:
         server = session.server
         if server is None:
             return
-        key = (session.cls, session.rung, session.title if session.kind.live else 0)
+        key = (session.r.cls, session.rung, session.r.title if session.kind.live else 0)
         bucket = server.buckets[key]
-        del bucket[session.ref]
+        del bucket[session.r.ref]
         if not bucket:
             del server.buckets[key]
         kb = self._adds(session, server, session.rung)
-        server.link.add(now, -kb)
-        server.rack.add(now, -kb)
+        for meter in (server.link, server.rack, self.fleet):
+            meter.add(now, -kb)
         server.streams -= 1
         session.server = None
         if session.trial:
             session.trial = server.trial_out = False
         if session.kind.seats:
-            seat = (session.cls, session.title)
+            seat = (session.r.cls, session.r.title)
             self.seats[seat] -= 1
             if not self.seats[seat]:
                 del self.seats[seat]
 
     def _start_play(self, now: int, session: Session) -> None:
         session.phase = Phase.PLAYING
-        session.ends = now + session.hint if session.hint is not None else 0
+        session.ends = now + session.r.hint if session.r.hint is not None else 0
 
     # ---- rungs of playing sessions
 
@@ -467,7 +476,7 @@
         self._reserve(now, session, server, rung)
         session.trial = trial
         session.stepped = now
-        self.out.append(Rate(session.ref, rung))
+        self.out.append(Rate(session.r.ref, rung))
 
     def _lowerable(self, now: int, server: Server) -> list[tuple[float, float, list[Session]]]:
         """What can be lowered at a server: (worth lost per kB, kB freed, the sessions), cheapest first."""
@@ -488,7 +497,7 @@
                 freed = high * (1 + join * (n - 1)) - low * (join * n if under else 1 + join * (n - 1))
                 if freed > 0:
                     found.append((drop * n / freed, freed, able))
-        found.sort(key=lambda one: (one[0], -one[1], one[2][0].ref))
+        found.sort(key=lambda one: (one[0], -one[1], one[2][0].r.ref))
         return found
 
     def _make_room(self, now: int, session: Session, server: Server, need: float) -> bool:
@@ -528,7 +537,7 @@
     def _raise(self, now: int, server: Server) -> None:
         """Use lasting room: raise the playing session that gains most per kB, within this front's share."""
         s = self.set
-        if server.state != ServerState.READY or server.bad > BAD or self.held:
+        if server.gone or server.bad > BAD or self.held:
             return
         room = server.room(UP_MARK) / s.fronts
         best: tuple[float, float, list[Session]] | None = None
@@ -600,7 +609,7 @@
                 self.resent.pop()
             proven = code in (Code.FULL, Code.CONNECT_FAILED, Code.MOOT)
             if session.kind.effect != Effect.SAFE and not proven:
-                self.out.append(Fail(session.ref))
+                self.out.append(Fail(session.r.ref))
                 self._forget(session)
             elif now >= session.deadline or session.attempts >= self.set.max_attempts:
                 self._refuse(session)
@@ -627,7 +636,7 @@
             looked += 1
             if looked > SCAN:
                 break
-            if (server.cell - session.home) % self.set.cells < session.holders:
+            if (server.entry.cell - session.r.home) % self.set.cells < session.r.holders:
                 self._place(now, session)
 
     def _wake(self, now: int, event: Wake) -> None:
@@ -690,7 +699,7 @@
                 if meter.load() < over:
                     meter.learn(over, at)
                 self._shed(now, server, at)
-            elif server.link.seen is not None and server.link.seen > 1:
+            elif server.link.seen > 1:
                 server.link.learn(1.0, at)
 
     def _full(self, now: int, server: Server) -> None:
@@ -702,8 +711,8 @@
 
     def _good(self, now: int, server: Server) -> None:
         if server.bad > BAD >= server.bad * (1 - WEIGH):
-            self.out.append(Log(f"server {server.id} trusted again"))
-        if server.lost and server.fails:
+            self.out.append(Log(f"server {server.entry.server} trusted again"))
+        if server.lost > NEVER and server.fails:
             server.lost = now  # it lost its sessions and answers again: cold from here at the latest
         server.fails = 0
         server.bad *= 1 - WEIGH
@@ -711,7 +720,7 @@
 
     def _failed(self, now: int, server: Server, code: int) -> None:
         if server.bad <= BAD:
-            self.out.append(Log(f"server {server.id} on trial: outcome {code}"))
+            self.out.append(Log(f"server {server.entry.server} on trial: outcome {code}"))
         if code != Code.ERROR:
             server.lost = now
         server.bad += WEIGH * (1 - server.bad)
@@ -722,5 +731,8 @@
 
     def _probed(self, now: int, event: Probed) -> None:
         server = self.servers.get(event.server)
-        if server is not None and event.code == Code.OK and event.report is not None:
+        if server is None:
+            return
+        if event.code == Code.OK and event.report is not None:
             self._learn(now, server, event.report)
+        self._retry(now, server)
