--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -13,8 +13,10 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Any
 
 from .interface import (
     Action, Carried, ClassSettings, Code, Effect, Event, Fail, Left, ListKind, Log, Note, NoteKind, Opened,
@@ -42,11 +44,10 @@
 RETEST = SECOND  # first wait before a trial of a bad server; doubles with each failure
 RETEST_MOST = 8 * SECOND  # longest such wait: outages seen last 5 to 30 s
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
-PROBES = 1  # probes that one session may wait for
+PROBES = 1.5  # probes that each request pays for; dear ones would cost more worth than they save
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
 SILENT = 0.2  # a delivered share below this is a stopped server, not a full link
 
-
 NEVER = -(1 << 62)  # a time before any clock
 
 
@@ -115,7 +116,6 @@
     server: Server | None = None
     phase: Phase = Phase.HELD
     attempts: int = 0
-    probes: int = 0
     ends: int = 0
     stepped: int = NEVER
     left: bool = False
@@ -171,7 +171,12 @@
         self.best = max(settings.rung_worth[k.floor] / settings.rung_kb[k.floor] * k.worth / k.scale
                         for k in settings.classes)
         self.pumps = 0
+        self.credit = 0.0
         self.out: list[Action] = []
+        self.on: dict[type, Callable[[int, Any], None]] = {
+            Request: self._request, Outcome: self._outcome, Note: self._note, Opened: self._opened,
+            Wake: self._wake, ServerList: self._list, Probed: self._probed, Left: self._left,
+            Carried: self._carried}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Decide on one event; pure but for this object's own state."""
@@ -181,25 +186,9 @@
             self.out.append(SetTimer(now + PUMP, 0))
             if self.set.subscribe:
                 self.out.append(Watch(True))
-        match event:
-            case Request():
-                self._request(now, event)
-            case Outcome():
-                self._outcome(now, event)
-            case Note():
-                self._note(now, event)
-            case Opened():
-                self._opened(now, event)
-            case Wake():
-                self._wake(now, event)
-            case ServerList():
-                self._list(now, event)
-            case Probed():
-                self._probed(now, event)
-            case Left():
-                self._left(event)
-            case Carried():
-                self._carried(now, event)
+        act = self.on.get(type(event))
+        if act is not None:
+            act(now, event)
         return self.out
 
     # ---- server list
@@ -220,7 +209,8 @@
         server = self.servers.get(e.server)
         places = s.places_by_kind[e.kind] if e.kind < len(s.places_by_kind) else min(s.places_by_kind)
         if server is None:
-            rack = self.racks.setdefault(e.cell % s.racks, Meter(s.uplink_kb or 1e12, s.fronts - 1, self.fleet))
+            uplink = Meter(s.uplink_kb or 1e12, s.fronts - 1, self.fleet)
+            rack = self.racks.setdefault(e.cell % s.racks, uplink)
             server = Server(e, places, Meter(0.0, s.fronts - 1, self.fleet), rack)
             self.servers[e.server] = server
         else:
@@ -248,6 +238,7 @@
         if r.ref in self.sessions or r.cls >= len(self.set.classes):
             return
         self.taken.append(now)
+        self.credit = min(self.credit + PROBES, len(self.servers))
         session = self._session(now, r)
         if session.top < session.kind.floor:
             self._refuse(session)  # no rung is both allowed and usable: waiting cannot help
@@ -307,25 +298,26 @@
                 fits.append((server, rung))
         if fits:
             server, rung = self._draw(session, fits)
-            if self._ask(now, session, server):
+            if self._ask(now, server):
                 return False
             return self._send(now, session, server, rung)
         if legal:
             server = self._draw(session, [(one, 0) for one in legal])[0]
+            self._ask(now, server)
             rung = session.kind.floor
             if self._make_room(now, session, server, self._adds(session, server, rung)):
                 return self._send(now, session, server, rung)
         return False
 
-    def _ask(self, now: int, session: Session, server: Server) -> bool:
-        """Where load is told by probes alone, look before the send, as a cub asks the next one."""
-        if not self.set.probes or self.set.reports_in_answers or session.probes >= PROBES \
-                or now - server.link.seen_at < PROBE_AGE + REPORT_LAG:
+    def _ask(self, now: int, server: Server) -> bool:
+        """Where load is told by probes alone, look before the send, as a cub asks the next one. Each
+        request pays for some probes, so that their price stays bounded."""
+        if not self.set.probes or self.set.reports_in_answers or self.credit < 1 \
+                or now - max(server.link.seen_at + REPORT_LAG, server.probed) < PROBE_AGE:
             return False
-        session.probes += 1
-        if now - server.probed > PROBE_AGE:
-            server.probed = now
-            self.out.append(Probe(server.entry.server))
+        self.credit -= 1
+        server.probed = now
+        self.out.append(Probe(server.entry.server))
         return True
 
     def _draw(self, session: Session, fits: list[tuple[Server, int]]) -> tuple[Server, int]:
@@ -618,7 +610,7 @@
         if server is not None and (playing or event.over):
             self._retry(now, server)
 
-    def _left(self, event: Left) -> None:
+    def _left(self, now: int, event: Left) -> None:
         session = self.sessions.get(event.ref)
         if session is None:
             return
@@ -648,6 +640,9 @@
                     self._refuse(session)
                 else:
                     self._place(now, session)
+            stale = [x for x in self.servers.values() if x.buckets and not x.gone]
+            if stale:
+                self._ask(now, min(stale, key=lambda x: max(x.link.seen_at, x.probed)))
             if self.pumps % 4 == 0:
                 for server in self.servers.values():
                     self._raise(now, server)
