--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -27,13 +27,16 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 
-MARK = 0.9  # fraction of a link or uplink that set-ups may fill; the paper advises 90% (section 5)
+MARK = 0.95  # fraction of a link or uplink that set-ups may fill; the paper's 90% left room idle
 SPREAD = 0.3  # how far the mark falls for a rung whose last step brings no worth
 SHED_AT = 0.98  # fraction from which playing sessions are lowered: under this share worth is lost
-UP_MARK = 0.8  # fraction that raising playing sessions may fill; the rest is kept for newcomers
+SHED_TO = 0.97  # fraction that they are lowered to; 0.9 gave up more worth than the odd shortfall costs
+UP_MARK = 0.7  # fraction that raising playing sessions may fill; the rest is kept for newcomers
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
+FADE_AFTER = 6 * SECOND  # age from which evidence fades: longer than the usual time between notes
+FADE = 0.1  # part of the way to the prior that old evidence goes each second
 REPORT_LAG = 400 * MS  # how old a report's figures are taken to be; settings do not tell
 SWITCH_GAIN = 2.0  # raising a rung must earn this many times its price over the time left
 LIMIT_TOOK = 5.0  # an attempt's time limit over the usual time of a set-up
@@ -91,6 +94,11 @@
         self.trail.appendleft((at, own))
         self.seen, self.seen_own, self.seen_at, self.seen_fleet = value, own, at, self.prior()
 
+    def fade(self, now: int) -> None:
+        """Old evidence of the other fronts gives way to the prior: a full link may long be free."""
+        if now - self.seen_at > FADE_AFTER:
+            self.seen += FADE * (self.seen_fleet - max(0.0, self.seen - self.seen_own / self.cap))
+
     def prior(self) -> float:
         """Load of the other fronts where each is as busy as this one."""
         return self.others * self.fleet.own / max(self.fleet.cap, 1.0) if self.fleet else 0.0
@@ -118,6 +126,7 @@
     attempts: int = 0
     ends: int = 0
     stepped: int = NEVER
+    lowered: int = NEVER
     left: bool = False
     trial: bool = False
 
@@ -157,7 +166,6 @@
         self.set = settings
         self.random = random.Random(seed)
         self.servers: dict[int, Server] = {}
-        self.cells: dict[int, list[Server]] = {}
         self.racks: dict[int, Meter] = {}
         self.fleet = Meter(0.0, 0, None)
         self.sessions: dict[int, Session] = {}
@@ -213,13 +221,10 @@
             rack = self.racks.setdefault(e.cell % s.racks, uplink)
             server = Server(e, places, Meter(0.0, s.fronts - 1, self.fleet), rack)
             self.servers[e.server] = server
-        else:
-            self.cells[server.entry.cell].remove(server)
-            if e.started and e.started != server.entry.started:
-                # restarted: what was known of its link and health is of its life before
-                server.link.learn(0.0, now)
-                server.fails, server.bad, server.retest = 0, 0.0, NEVER
-        self.cells.setdefault(e.cell, []).append(server)
+        elif e.started and e.started != server.entry.started:
+            # restarted: what was known of its link and health is of its life before
+            server.link.learn(0.0, now)
+            server.fails, server.bad, server.retest = 0, 0.0, NEVER
         server.entry, server.places, server.gone = e, places, e.state != ServerState.READY
         link_kb = (e.weight if 0 < e.weight < 1e6 else 1.0) * s.weight_kb
         self.fleet.cap += link_kb - server.link.cap
@@ -254,7 +259,7 @@
         session = self._session(now, r)
         session.attempts = 1
         self._reserve(now, session, server, session.rung)
-        self._start_play(now, session)
+        session.phase, session.ends = Phase.PLAYING, now + (r.hint or 0)
 
     def _hold(self, now: int, session: Session) -> None:
         session.phase = Phase.HELD
@@ -278,13 +283,12 @@
             return False
         legal: list[Server] = []
         trials: list[Server] = []
-        for j in range(min(session.r.holders, self.set.cells)):
-            for server in self.cells.get((session.r.home + j) % self.set.cells, ()):
-                if self._may_send(now, session, server):
-                    if server.bad <= BAD:
-                        legal.append(server)
-                    elif now >= server.retest and not server.trial_out:
-                        trials.append(server)
+        for server in self.servers.values():
+            if self._may_send(now, session, server):
+                if server.bad <= BAD:
+                    legal.append(server)
+                elif now >= server.retest and not server.trial_out:
+                    trials.append(server)
         safe = session.kind.effect == Effect.SAFE
         if trials and (safe and session.attempts == 0 or not legal):
             server = trials[self.random.randrange(len(trials))]
@@ -304,16 +308,16 @@
         if legal:
             server = self._draw(session, [(one, 0) for one in legal])[0]
             self._ask(now, server)
-            rung = session.kind.floor
-            if self._make_room(now, session, server, self._adds(session, server, rung)):
-                return self._send(now, session, server, rung)
+            if self._make_room(now, session, server):
+                return self._send(now, session, server, session.kind.floor)
         return False
 
     def _ask(self, now: int, server: Server) -> bool:
         """Where load is told by probes alone, look before the send, as a cub asks the next one. Each
         request pays for some probes, so that their price stays bounded."""
-        if not self.set.probes or self.set.reports_in_answers or self.credit < 1 \
-                or now - max(server.link.seen_at + REPORT_LAG, server.probed) < PROBE_AGE:
+        age = 2 * self.set.told_every if self.set.reports_in_answers else PROBE_AGE
+        if not self.set.probes or self.credit < 1 \
+                or now - max(server.link.seen_at + REPORT_LAG, server.probed) < age:
             return False
         self.credit -= 1
         server.probed = now
@@ -364,10 +368,13 @@
 
     # ---- guards
 
+    def _holds(self, session: Session, server: Server) -> bool:
+        return (server.entry.cell - session.r.home) % self.set.cells < session.r.holders
+
     def _may_send(self, now: int, session: Session, server: Server) -> bool:
         """The one place that says whether a send is legal. Every send passes it."""
         s = self.set
-        if server.gone:
+        if server.gone or not self._holds(session, server):
             return False  # drains: the grace is not used
         if session.attempts >= s.max_attempts or session.phase != Phase.HELD:
             return False
@@ -454,20 +461,17 @@
             if not self.seats[seat]:
                 del self.seats[seat]
 
-    def _start_play(self, now: int, session: Session) -> None:
-        session.phase = Phase.PLAYING
-        session.ends = now + session.r.hint if session.r.hint is not None else 0
-
     # ---- rungs of playing sessions
 
     def _step(self, now: int, session: Session, rung: int) -> None:
         server = session.server
         assert server is not None
-        trial, session.trial = session.trial, False
+        before, trial, session.trial = session.rung, session.trial, False
         self._release(now, session)
         self._reserve(now, session, server, rung)
         session.trial = trial
         session.stepped = now
+        session.lowered = now if rung < before else session.lowered
         self.out.append(Rate(session.r.ref, rung))
 
     def _lowerable(self, now: int, server: Server) -> list[tuple[float, float, list[Session]]]:
@@ -477,7 +481,7 @@
             kind = s.classes[cls]
             if rung <= kind.floor:
                 continue
-            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.stepped >= PACE]
+            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.lowered >= PACE]
             drop = (s.rung_worth[rung] - s.rung_worth[rung - 1]) * kind.worth
             high, low = self._rate(kind, rung), self._rate(kind, rung - 1)
             if not kind.live:
@@ -492,39 +496,34 @@
         found.sort(key=lambda one: (one[0], -one[1], one[2][0].r.ref))
         return found
 
-    def _make_room(self, now: int, session: Session, server: Server, need: float) -> bool:
-        """Lower playing sessions to let a held one in, where they lose less worth per kB than it brings."""
-        short = need - server.room(MARK)
-        gain = self.set.rung_worth[session.kind.floor] * session.kind.worth / need
-        steps = []
+    def _lower(self, now: int, server: Server, kb: float, worth: float, whole: bool) -> bool:
+        """Lower playing sessions one rung, those first that lose least worth per kB and none that loses
+        `worth` or more, until `kb` are free; with `whole` only where that much can be freed."""
+        steps: list[Session] = []
         for lost, freed, group in self._lowerable(now, server):
-            if lost >= gain:
-                break
-            steps.append(group)
-            short -= freed
-            if short <= 0:
+            if kb <= 0 or lost >= worth:
                 break
-        if short > 0:
+            steps += group
+            kb -= freed
+        if whole and kb > 0:
             return False
-        for group in steps:
-            for one in group:
-                self._step(now, one, one.rung - 1)
-        return True
+        for one in steps:
+            self._step(now, one, one.rung - 1)
+        return bool(steps) or kb <= 0
+
+    def _make_room(self, now: int, session: Session, server: Server) -> bool:
+        """Let a held session in where those that play lose less worth per kB than it brings."""
+        kb = self._adds(session, server, session.kind.floor)
+        gain = self.set.rung_worth[session.kind.floor] * session.kind.worth / kb
+        return self._lower(now, server, kb - server.room(MARK), gain, True)
 
     def _shed(self, now: int, server: Server, at: int) -> None:
         """Lower this front's share of what is asked over the mark. Evidence of a time before the last
         lowering here is not acted on twice."""
         load = server.load()
-        if load < SHED_AT or at <= server.shed_at:
-            return
-        need = server.link.own * (1 - MARK / load)
-        for _, freed, group in self._lowerable(now, server):
-            if need <= 0:
-                break
-            need -= freed
-            server.shed_at = now
-            for one in group:
-                self._step(now, one, one.rung - 1)
+        if load >= SHED_AT and at > server.shed_at:
+            if self._lower(now, server, server.link.own * (1 - SHED_TO / load), math.inf, False):
+                server.shed_at = now
 
     def _raise(self, now: int, server: Server) -> None:
         """Use lasting room: raise the playing session that gains most per kB, within this front's share."""
@@ -540,7 +539,7 @@
             gain = s.rung_worth[rung + 1] - s.rung_worth[rung]
             able = []
             for x in bucket.values():
-                left = (x.ends - now) / SECOND if x.ends else PACE / SECOND
+                left = (x.ends - now if x.r.hint else PACE) / SECOND
                 if x.phase == Phase.PLAYING and x.top > rung and now - x.stepped >= PACE \
                         and gain * left > SWITCH_GAIN * s.switch_s:
                     able.append(x)
@@ -569,7 +568,7 @@
         if session is None or session.phase != Phase.OUT or event.attempt != session.attempts - 1:
             return
         self.took += 0.1 * (min(event.took, SECOND) - self.took)
-        self._start_play(now, session)
+        session.phase, session.ends = Phase.PLAYING, now + (session.r.hint or 0)
         server = session.server
         assert server is not None
         if session.trial:
@@ -589,11 +588,9 @@
         if server is not None:
             if code in (Code.TIMEOUT, Code.CONNECT_FAILED, Code.RESET) or code == Code.ERROR and not playing:
                 self._failed(now, server, code)
-            elif code == Code.FULL:
-                self._full(now, server)
-        if event.over or session.left:
-            self._forget(session)
-        elif playing:
+            elif code == Code.FULL and server.link.load() < 1:
+                server.link.learn(1.0, now)  # at its end, until other evidence
+        if event.over or session.left or playing:
             self._forget(session)
         else:
             session.phase = Phase.HELD
@@ -628,7 +625,7 @@
             looked += 1
             if looked > SCAN:
                 break
-            if (server.entry.cell - session.r.home) % self.set.cells < session.r.holders:
+            if self._holds(session, server):
                 self._place(now, session)
 
     def _wake(self, now: int, event: Wake) -> None:
@@ -644,6 +641,8 @@
             if stale:
                 self._ask(now, min(stale, key=lambda x: max(x.link.seen_at, x.probed)))
             if self.pumps % 4 == 0:
+                for meter in (*self.racks.values(), *(x.link for x in self.servers.values())):
+                    meter.fade(now)
                 for server in self.servers.values():
                     self._raise(now, server)
         elif event.token == 1:
@@ -697,11 +696,6 @@
             elif server.link.seen > 1:
                 server.link.learn(1.0, at)
 
-    def _full(self, now: int, server: Server) -> None:
-        """Refused as full: the link is at its end until a session ends there or a report says otherwise."""
-        if server.link.load() < 1:
-            server.link.learn(1.0, now)
-
     # ---- health
 
     def _good(self, now: int, server: Server) -> None:
