--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -392,8 +392,10 @@
         if self._cold(now, server):
             pace = s.fall_multiple * server.places * s.cold_from * COLD_SHARE
             gap = s.fronts * s.warm_within / pace if pace > 0 else s.warm_within
-            # right after the own start, what was sent before is forgotten: count it as sent just then
-            if now - max(server.sent, self.start) < gap:
+            # what was sent to a cold server before the own start is forgotten: taken as sent just then;
+            # one send to a server that is not listed as cold stays within the share left over
+            listed = now < server.entry.started + s.warm_within and server.entry.started > 0
+            if now - (max(server.sent, self.start) if listed else server.sent) < gap:
                 return False
         return True
 
@@ -577,13 +579,13 @@
 
     def _outcome(self, now: int, event: Outcome) -> None:
         server = self.servers.get(event.server)
-        if server is not None and event.report is not None:
-            self._learn(now, server, event.report)
         session = self.sessions.get(event.ref)
         if session is None or session.phase == Phase.HELD or event.attempt != session.attempts - 1:
             return
         playing = session.phase == Phase.PLAYING
         self._release(now, session)
+        if server is not None and event.report is not None:
+            self._learn(now, server, event.report)  # after the release: what has ended is not lowered
         code = event.code
         if server is not None:
             if code in (Code.TIMEOUT, Code.CONNECT_FAILED, Code.RESET) or code == Code.ERROR and not playing:
@@ -614,7 +616,8 @@
         if session.phase == Phase.HELD:
             self._forget(session)
         else:
-            session.left = True  # its attempt still counts until its outcome
+            # its attempt still counts until its outcome, but its rung is no longer touched
+            session.left, session.phase = True, Phase.OUT
 
     # ---- queue
 
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,65 @@
+"""Symptoms to verdicts, and the way back."""
+
+from copperyard import interface as api
+from tests.helpers import MS, SECOND, front, only, request, sends
+
+
+def spoil(one, now, ref, code, server=0):
+    """One attempt at `server` that ends in `code`."""
+    sent = sends(one.handle(now, request(ref, home=server, holders=1, title=ref)))
+    if not sent:
+        return False
+    one.handle(now + MS, api.Outcome(ref, 0, server, code, MS, False))
+    one.handle(now + 2 * MS, api.Left(ref))
+    return True
+
+
+def test_each_symptom_takes_a_server_out_of_the_draw():
+    for code in (api.Code.ERROR, api.Code.TIMEOUT, api.Code.CONNECT_FAILED, api.Code.RESET):
+        one = front()
+        assert spoil(one, SECOND, 1, code)
+        won = {sends(one.handle(SECOND + 5 * MS, request(k, title=k)))[0].server for k in range(10, 18)}
+        assert 0 not in won, code
+
+
+def test_a_breach_of_a_playing_session_counts_as_a_symptom():
+    one = front()
+    sends(one.handle(SECOND, request(1, home=0, holders=1)))
+    one.handle(SECOND, api.Opened(1, 0, 0, MS))
+    logs = only(one.handle(3 * SECOND, api.Outcome(1, 0, 0, api.Code.RESET, MS, True)), api.Log)
+    assert logs and "server 0" in logs[0].text
+
+
+def test_trials_are_single_and_rare():
+    one = front()
+    spoil(one, SECOND, 1, api.Code.TIMEOUT)
+    sent = [sends(one.handle(3 * SECOND, request(k, home=0, holders=1, title=k))) for k in range(10, 16)]
+    assert sum(len(s) for s in sent) <= 1
+
+
+def test_a_trial_that_goes_well_brings_the_server_back():
+    one = front()
+    spoil(one, SECOND, 1, api.Code.ERROR)
+    for k in range(10, 16):
+        for s in sends(one.handle((k - 6) * SECOND, request(k, home=0, holders=1, title=k))):
+            one.handle((k - 6) * SECOND + MS, api.Opened(k, 0, s.server, MS))
+    assert one.servers[0].bad < 0.2
+    assert not only(one.handle(20 * SECOND, api.Opened(15, 0, 0, MS)), api.Log)
+
+
+def test_waits_between_trials_grow_and_are_bounded():
+    one = front()
+    times = []
+    for tenth in range(10, 600):
+        now = tenth * 100 * MS
+        if spoil(one, now, tenth, api.Code.ERROR):
+            times.append(tenth)
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert len(times) < 15 and max(gaps) <= 100 and gaps[-1] > gaps[0]
+
+
+def test_one_holder_that_fails_sends_the_session_to_another():
+    one = front()
+    first = sends(one.handle(SECOND, request(1)))[0].server
+    then = sends(one.handle(SECOND + MS, api.Outcome(1, 0, first, api.Code.ERROR, MS, False)))
+    assert then and then[0].server != first
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,206 @@
+"""The design's mechanism, part by part: events in, actions out."""
+
+from copperyard import interface as api
+from tests.helpers import (
+    LIVE,
+    MS,
+    PAID,
+    SAFE,
+    SECOND,
+    entry,
+    front,
+    full_list,
+    only,
+    request,
+    sends,
+    settings,
+)
+
+
+def note(ref, server, kind, value):
+    return api.Note(ref, 0, server, kind, value)
+
+
+def play(one, ref, now=SECOND, **changes):
+    """Bring a session to play; gives the server it plays at."""
+    sent = sends(one.handle(now, request(ref, **changes)))
+    assert sent, "the session was expected to be sent"
+    one.handle(now + MS, api.Opened(ref, 0, sent[0].server, MS))
+    return sent[0].server
+
+
+def load(one, now, server, link=0.0, uplink=0.0):
+    """Tell the front a server's load by way of a probe's report."""
+    one.handle(now, api.Probed(server, api.Code.OK, MS, api.Report(link, uplink)))
+
+
+def test_a_request_goes_to_a_holder_at_the_highest_rung_that_fits():
+    actions = front().handle(SECOND, request(1))
+    assert [type(a) for a in actions] == [api.Rate, api.Send]
+    assert only(actions, api.Rate)[0].rung == 2
+    assert sends(actions)[0].server in (0, 1, 2)
+
+
+def test_a_rung_never_passes_the_viewers_limit():
+    actions = front().handle(SECOND, request(1, top=1))
+    assert only(actions, api.Rate)[0].rung == 1
+
+
+def test_less_room_gives_a_lower_rung():
+    one = front()
+    for k in range(3):
+        load(one, SECOND, k, 0.7)
+    assert only(one.handle(2 * SECOND, request(1)), api.Rate)[0].rung < 2
+
+
+def test_a_full_link_holds_the_session_and_a_report_of_room_lets_it_in():
+    one = front()
+    for k in range(3):
+        load(one, SECOND, k, 1.0)
+    assert not sends(one.handle(2 * SECOND, request(1)))
+    load(one, 3 * SECOND, 1, 0.1)
+    one.handle(3 * SECOND, api.Wake(0))
+    assert not one.held
+
+
+def test_a_full_uplink_holds_the_session_too():
+    one = front(uplink_kb=1000.0)
+    load(one, SECOND, 0, 0.0, 1.0)
+    assert not sends(one.handle(2 * SECOND, request(1)))
+
+
+def test_the_ledger_counts_own_sessions_with_no_report_at_all():
+    one = front()
+    sent = [sends(one.handle(SECOND, request(k, home=0, holders=1))) for k in range(1, 12)]
+    total = sum(len(s) for s in sent)
+    assert 3 <= total <= 9  # a link of 1000 kB: never more than nine of the lowest rate
+
+
+def test_carried_sessions_count():
+    one = front()
+    for k in range(9):
+        one.handle(SECOND, api.Carried(request(100 + k, home=0, holders=1), 0))
+        one.handle(SECOND, note(100 + k, 0, api.NoteKind.RUNG, 0.0))
+    assert one.servers[0].link.own == 900.0
+
+
+def test_no_more_streams_than_places():
+    one = front(places_by_kind=(2,), weight_kb=100_000.0)
+    sent = [sends(one.handle(SECOND, request(k, home=0, holders=1))) for k in (1, 2, 3)]
+    assert [len(s) for s in sent] == [1, 1, 0]
+
+
+def test_the_less_used_of_two_drawn_wins():
+    one = front()
+    load(one, SECOND, 0, 0.5)
+    load(one, SECOND, 1, 0.5)
+    load(one, SECOND, 2, 0.0)
+    won = [sends(one.handle(2 * SECOND, request(k, top=0)))[0].server for k in range(1, 5)]
+    assert won.count(2) >= 2
+
+
+def test_refused_as_full_holds_and_is_retried_when_a_session_ends_there():
+    one = front()
+    play(one, 1, cls=1, top=1, home=0, holders=1)
+    assert sends(one.handle(2 * SECOND, request(2, home=0, holders=1, top=0)))
+    back = one.handle(2 * SECOND + MS, api.Outcome(2, 0, 0, api.Code.FULL, MS, False))
+    assert not sends(back) and not only(back, api.Refuse)
+    assert not sends(one.handle(3 * SECOND, api.Wake(0)))
+    ended = one.handle(4 * SECOND, api.Outcome(1, 0, 0, api.Code.OK, SECOND, True))
+    assert [s.ref for s in sends(ended)] == [2]
+
+
+def test_a_held_head_does_not_block_one_whose_holder_has_room():
+    one = front()
+    load(one, SECOND, 0, 1.0)
+    assert not sends(one.handle(2 * SECOND, request(1, home=0, holders=1)))
+    assert sends(one.handle(2 * SECOND, request(2, home=1, holders=1)))
+
+
+def test_short_delivery_lowers_one_rung_and_no_session_twice_in_five_seconds():
+    one = front()
+    server = play(one, 1, home=0, holders=1)
+    lowered = only(one.handle(3 * SECOND, note(1, server, api.NoteKind.SHARE, 0.5)), api.Rate)
+    assert [(a.ref, a.rung) for a in lowered] == [(1, 1)]
+    again = [
+        one.handle(3 * SECOND + k * SECOND, note(1, server, api.NoteKind.SHARE, 0.5)) for k in range(1, 5)
+    ]
+    assert not any(only(actions, api.Rate) for actions in again)
+    assert only(one.handle(9 * SECOND, note(1, server, api.NoteKind.SHARE, 0.5)), api.Rate)[0].rung == 0
+
+
+def test_link_and_uplink_notes_over_the_mark_lower_too():
+    for kind in (api.NoteKind.LINK, api.NoteKind.UPLINK):
+        one = front()
+        server = play(one, 1, home=0, holders=1)
+        assert only(one.handle(4 * SECOND, note(1, server, kind, 1.5)), api.Rate)
+
+
+def test_a_playing_session_is_lowered_to_let_a_held_one_in():
+    one = front(weight_kb=270.0, rung_worth=(0.3, 0.5, 1.0))
+    play(one, 1, home=0, holders=1)
+    actions = one.handle(7 * SECOND, request(2, home=0, holders=1))
+    assert only(actions, api.Rate)[0].ref == 1 and sends(actions)
+
+
+def test_lasting_room_raises_a_playing_session():
+    one = front()
+    load(one, SECOND, 0, 0.75)
+    server = play(one, 1, 2 * SECOND, home=0, holders=1)
+    before = one.sessions[1].rung
+    load(one, 8 * SECOND, server, 0.1)
+    for k in range(4):
+        one.handle((9 + k) * SECOND, api.Wake(0))
+    assert one.sessions[1].rung == before + 1
+
+
+def test_live_viewers_join_a_stream_and_add_a_part():
+    one = front()
+    first = play(one, 1, cls=2)
+    for k in range(2, 5):
+        assert play(one, k, cls=2) == first
+    assert one.servers[first].link.own == 400.0 * (1 + 3 * 0.15)
+
+
+def test_own_zone_is_preferred_where_crossing_costs():
+    one = front(price_cross_zone=0.04)
+    one.handle(0, api.ServerList(api.ListKind.FULL, (entry(0, zone=1), entry(1), entry(2, zone=1), entry(3))))
+    assert {sends(one.handle(SECOND, request(k, top=0)))[0].server for k in range(1, 6)} == {1}
+
+
+def test_where_only_probes_report_the_drawn_server_is_asked_before_the_send():
+    one = front(probes=True, reports_in_answers=False)
+    actions = one.handle(10 * SECOND, request(1))
+    asked = only(actions, api.Probe)
+    assert asked and not sends(actions)
+    answer = one.handle(10 * SECOND + MS, api.Probed(asked[0].server, api.Code.OK, MS, api.Report(0.2, 0.2)))
+    later = answer + one.handle(11 * SECOND, api.Wake(0))
+    assert sends(later)
+
+
+def test_a_probe_that_is_not_allowed_is_never_sent():
+    one = front(probes=False, reports_in_answers=False)
+    assert sends(one.handle(10 * SECOND, request(1)))
+
+
+def test_absurd_evidence_is_bounded():
+    one = front()
+    server = play(one, 1, home=0, holders=1)
+    for value in (float("nan"), float("inf"), -1.0, 1e30, 0.0):
+        for kind in (1, 2, 3, 4, 9):
+            one.handle(3 * SECOND, note(1, server, kind, value))
+    load(one, 3 * SECOND, server, 1e30, -5.0)
+    assert one.servers[server].link.load() <= 5
+
+
+def test_evidence_fades_when_nothing_follows():
+    one = front()
+    load(one, SECOND, 0, 1.0)
+    for k in range(400):
+        one.handle(10 * SECOND + k * SECOND // 4, api.Wake(0))
+    assert sends(one.handle(120 * SECOND, request(1, home=0, holders=1)))
+
+
+def test_settings_of_the_helpers_are_as_the_tests_assume():
+    assert settings().classes == (SAFE, PAID, LIVE)
+    assert len(full_list().entries) == 4
--- /dev/null
+++ b/tests/test_module.py
@@ -0,0 +1,40 @@
+"""Limits on the decision module, and what the README shows."""
+
+import ast
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MODULE = (ROOT / "copperyard" / "decide.py").read_text()
+
+
+def test_the_module_stays_small_and_narrow():
+    lines = [line for line in MODULE.splitlines() if line.strip()]
+    assert len(lines) <= 650
+    assert max(len(line) for line in lines) <= 110
+
+
+def test_the_module_imports_nothing_that_reads_the_world():
+    names = {
+        n.name for node in ast.walk(ast.parse(MODULE)) if isinstance(node, ast.Import) for n in node.names
+    }
+    names |= {str(node.module) for node in ast.walk(ast.parse(MODULE)) if isinstance(node, ast.ImportFrom)}
+    assert names <= {
+        "__future__",
+        "math",
+        "random",
+        "collections",
+        "collections.abc",
+        "dataclasses",
+        "enum",
+        "typing",
+        "interface",
+    }
+
+
+def test_the_example_in_the_readme_runs():
+    example = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
+    assert example is not None
+    scope: dict[str, object] = {}
+    exec(example.group(1), scope)
+    assert scope["sent"]
--- /dev/null
+++ b/tests/test_property.py
@@ -0,0 +1,234 @@
+"""Arbitrary legal event sequences: the six rules are checked on the actions."""
+
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from copperyard import interface as api
+from copperyard.decide import Controller
+from tests.helpers import LIVE, MS, PAID, SAFE, SECOND, entry, settings as make
+
+settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60)
+settings.load_profile("fixed")
+
+KEYED = replace(SAFE, effect=api.Effect.KEYED, name="keyed")
+PROVES = (api.Code.FULL, api.Code.CONNECT_FAILED, api.Code.MOOT)
+VARIANTS = [
+    {},
+    {"probes": True, "reports_in_answers": False},
+    {"free_resends": 2.0, "further_ratio": 0.2, "ratio_span": 5 * SECOND},
+    {"fronts": 4, "fall_multiple": 2.0},
+    {"told_every": SECOND, "probes": True},
+    {"uplink_kb": 0.0, "racks": 3},
+    {"subscribe": True},
+    {"weight_kb": 300.0, "max_attempts": 5},
+    {"cold_from": 0.0},
+    {"warm_within": 0},
+]
+
+
+class World:
+    """A legal world around one front: it keeps what it was told and sent, and checks each action."""
+
+    def __init__(self, seed, changes):
+        self.settings = make(classes=(SAFE, PAID, LIVE, KEYED), **changes)
+        self.rng = random.Random(seed)
+        self.now, self.seed, self.ref = SECOND, seed, 0
+        self.servers = {k: entry(k) for k in range(4)}
+        self.restart()
+
+    def restart(self):
+        self.seed += 1
+        self.front = Controller(self.settings, self.seed)
+        self.open, self.out, self.playing, self.rung = {}, {}, {}, {}
+        self.attempts, self.ran, self.timers = {}, {}, []
+        self.told_off, self.cold, self.sent = {}, {}, {}
+        self.taken, self.again = [], []
+        self.seats = {}
+        self.start = self.now
+        self.give(api.ServerList(api.ListKind.CACHED, tuple(self.servers.values())))
+
+    def give(self, event):
+        if isinstance(event, api.ServerList) and event.kind != api.ListKind.FAILED:
+            named = {e.server: e for e in event.entries}
+            if event.kind != api.ListKind.DELTA:
+                for k in self.servers:
+                    if k not in named:
+                        self.told_off[k] = True
+            for k, e in named.items():
+                self.told_off[k] = e.state != api.ServerState.READY
+                if e.started:
+                    self.cold[k] = e.started
+        for action in self.front.handle(self.now, event):
+            self.check(action)
+
+    def check(self, a):
+        s = self.settings
+        if isinstance(a, api.Send):
+            r = self.open[a.ref]  # an open request that this front was given
+            kind = s.classes[r.cls]
+            assert a.ref not in self.out, "two attempts at once"
+            assert a.ref not in self.playing
+            assert not self.told_off.get(a.server, True), "sent to a drained, gone or unknown server"
+            assert (self.servers[a.server].cell - r.home) % s.cells < r.holders, "not a holder"
+            assert self.attempts.get(a.ref, 0) < s.max_attempts
+            assert not (self.ran.get(a.ref) and kind.effect != api.Effect.SAFE), "a set-up twice"
+            assert kind.floor <= self.rung.get(a.ref, kind.floor) <= r.top
+            assert self.now < a.not_past < min(r.deadline, self.began[a.ref] + kind.deadline)
+            if self.attempts.get(a.ref, 0) and s.free_resends is not None:
+                since = self.now - s.ratio_span
+                self.again = [t for t in self.again if t > since] + [self.now]
+                taken = sum(t > since for t in self.taken)
+                assert len(self.again) <= s.free_resends + s.further_ratio * taken, "ration"
+            seat = (r.cls, r.title)
+            self.seats[seat] = self.seats.get(seat, 0) + 1
+            assert not kind.seats or self.seats[seat] <= kind.seats, "seats"
+            start = self.cold.get(a.server)
+            sent = self.sent.setdefault(a.server, [])
+            sent.append(self.now)
+            if start is not None and self.now < start + s.warm_within:
+                budget = s.fall_multiple * 20 / s.warm_within * s.cold_from * s.fall / s.fronts
+                recent = [t for t in sent if t >= max(start, self.now - s.fall)]
+                assert len(recent) <= max(1.0, budget), "a cold server pushed over"
+            n = self.attempts[a.ref] = self.attempts.get(a.ref, 0) + 1
+            self.out[a.ref] = (n - 1, a.server, a.not_past)
+        elif isinstance(a, api.Rate):
+            kind = s.classes[(self.open.get(a.ref) or self.playing[a.ref][0]).cls]
+            assert kind.floor <= a.rung <= min(kind.top, (self.open.get(a.ref) or self.playing[a.ref][0]).top)
+            self.rung[a.ref] = a.rung
+        elif isinstance(a, api.Refuse | api.Fail):
+            r = self.open.pop(a.ref)  # once, and only while owed
+            assert a.ref not in self.out
+            if isinstance(a, api.Refuse):
+                assert not (self.ran.get(a.ref) and s.classes[r.cls].effect != api.Effect.SAFE)
+                assert 0 <= a.retry_after <= s.max_retry_after
+        elif isinstance(a, api.SetTimer):
+            self.timers.append((a.at, a.token))
+        elif isinstance(a, api.Probe):
+            assert s.probes and a.server in self.servers
+        else:
+            assert isinstance(a, api.Log | api.Watch)
+
+    def advance(self, step):
+        """Move time on; due timers fire and attempts at their limit time out."""
+        end = self.now + step
+        while self.now < end:
+            self.now += min(50 * MS, end - self.now)
+            for ref, (n, server, limit) in list(self.out.items()):
+                if limit <= self.now:
+                    self.finish(ref, n, server, api.Code.TIMEOUT)
+            due = [t for t in self.timers if t[0] <= self.now]
+            self.timers = [t for t in self.timers if t[0] > self.now]
+            for _, token in due:
+                self.give(api.Wake(token))
+            slack = 40 * MS + 50 * MS
+            for ref, r in self.open.items():
+                last = min(r.deadline, self.began[ref] + self.settings.classes[r.cls].deadline)
+                assert ref in self.out or self.now < last + slack, "not answered in time"
+
+    def finish(self, ref, n, server, code):
+        del self.out[ref]
+        r = self.open[ref]
+        self.seats[(r.cls, r.title)] -= 1
+        self.ran[ref] = self.ran.get(ref) or code not in PROVES
+        self.give(api.Outcome(ref, n, server, code, MS, False, self.report()))
+
+    def report(self):
+        value = self.rng.choice([None, 0.0, 0.3, 0.9, 1.1, 50.0, -3.0, float("nan"), float("inf")])
+        return None if value is None else api.Report(value, self.rng.choice([None, 0.2, 1.2, float("nan")]))
+
+    def request(self):
+        rng, self.ref = self.rng, self.ref + 1
+        cls = rng.randrange(4)
+        deadline = self.now + rng.choice([300 * MS, 2 * SECOND, 9 * SECOND])
+        r = api.Request(
+            self.ref,
+            cls,
+            rng.randrange(3),
+            deadline,
+            rng.randrange(3),
+            rng.randrange(4),
+            rng.choice([1, 3, 4]),
+            rng.choice([None, 0, 20 * SECOND]),
+        )
+        self.open[self.ref] = r
+        self.began = {**getattr(self, "began", {}), self.ref: self.now}
+        self.taken.append(self.now)
+        self.give(r)
+
+    def act(self, op):
+        rng, out, playing = self.rng, list(self.out.items()), list(self.playing.items())
+        if op <= 4:
+            self.request()
+        elif op <= 6 and out:
+            ref, (n, server, _) = rng.choice(out)
+            self.playing[ref] = (self.open.pop(ref), n, server)
+            del self.out[ref]
+            self.give(api.Opened(ref, n, server, rng.randrange(SECOND)))
+        elif op <= 8 and out:
+            ref, (n, server, _) = rng.choice(out)
+            self.finish(ref, n, server, rng.choice([2, 3, 4, 5, 6, 8]))
+        elif op == 9 and playing:
+            ref, (r, n, server) = rng.choice(playing)
+            if rng.random() < 0.3:
+                self.give(api.Left(ref))
+            self.seats[(r.cls, r.title)] -= 1
+            del self.playing[ref]
+            self.give(api.Outcome(ref, n, server, rng.choice([1, 6, 7]), SECOND, True, self.report()))
+        elif op == 10 and playing:
+            ref, (_, n, server) = rng.choice(playing)
+            value = rng.choice([0.0, 0.1, 0.5, 0.9, 1.0, 1.7, -1.0, float("nan"), float("inf")])
+            self.give(api.Note(ref, n, server, rng.choice([1, 3, 4, 7]), value))
+        elif op == 11:
+            k = rng.randrange(4)
+            started = rng.choice([self.servers[k].started, self.now])
+            self.servers[k] = replace(self.servers[k], state=rng.choice([0, 1, 1, 1, 2, 7]), started=started)
+            self.give(api.ServerList(api.ListKind.DELTA, (self.servers[k],)))
+        elif op == 12:
+            kept = [e for e in self.servers.values() if rng.random() < 0.8]
+            self.give(api.ServerList(rng.choice([0, 2, 4]), tuple(kept)))
+        elif op == 13:
+            k = rng.randrange(4)
+            self.give(api.Probed(k, rng.choice([1, 4, 5]), MS, self.report()))
+        elif op == 14:
+            for event in (
+                api.Left(10**6),
+                api.Outcome(10**6, 0, 1, 1, MS, True),
+                api.Opened(10**6, 0, 1, MS),
+                api.Note(10**6, 0, 77, 1, 0.5),
+                api.Wake(10**9),
+            ):
+                self.give(event)
+        elif op == 15 and rng.random() < 0.2:
+            self.restart()
+        else:
+            self.advance(rng.choice([10 * MS, 200 * MS, SECOND, 6 * SECOND]))
+
+
+@given(
+    seed=st.integers(0, 10**6),
+    variant=st.integers(0, len(VARIANTS) - 1),
+    ops=st.lists(st.integers(0, 22), min_size=20, max_size=250),
+)
+def test_any_legal_sequence_keeps_the_rules(seed, variant, ops):
+    world = World(seed, VARIANTS[variant])
+    for op in ops:
+        world.act(op)
+    world.advance(12 * SECOND)
+    assert not world.open and not world.front.held
+    assert all(server.link.own >= 0 for server in world.front.servers.values())
+
+
+@given(seed=st.integers(0, 10**6))
+def test_the_same_events_give_the_same_actions(seed):
+    def day():
+        world = World(seed, VARIANTS[seed % len(VARIANTS)])
+        rng, log = random.Random(seed), []
+        for _ in range(80):
+            world.act(rng.randrange(23))
+            log.extend(world.front.out)
+        return log
+
+    assert day() == day()
