--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -33,8 +33,6 @@
 SHED_TO = 0.97  # fraction that they are lowered to; 0.9 gave up more worth than the odd shortfall costs
 UP_MARK = 0.7  # fraction that raising playing sessions may fill; the rest is kept for newcomers
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
-DEEP = 1.33  # load at which three quarters are delivered and viewers begin to leave
-DEEP_PACE = SECOND  # the pace of lowering then: one rung in five seconds came too late
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
 FADE_AFTER = 6 * SECOND  # age from which evidence fades: longer than the usual time between notes
@@ -42,7 +40,7 @@
 REPORT_LAG = 400 * MS  # how old a report's figures are taken to be; settings do not tell
 SWITCH_GAIN = 2.0  # raising a rung must earn this many times its price over the time left
 LIMIT_TOOK = 5.0  # an attempt's time limit over the usual time of a set-up
-LIMIT_LEAST = 500 * MS  # least time limit: a cold or busy server needs that much
+LIMIT_LEAST = 250 * MS  # least time limit: a cold or busy server needs that much
 LIMIT_SHARE = 0.6  # most of the time left that one attempt may use, so that another still fits
 BAD = 0.2  # recent share of failures from which a server is kept to single trials
 WEIGH = 0.3  # weight of the newest attempt in that share
@@ -478,14 +476,14 @@
         session.lowered = now if rung < before else session.lowered
         self.out.append(Rate(session.r.ref, rung))
 
-    def _lowerable(self, now: int, server: Server, pace: int) -> list[tuple[float, float, list[Session]]]:
+    def _lowerable(self, now: int, server: Server) -> list[tuple[float, float, list[Session]]]:
         """What can be lowered at a server: (worth lost per kB, kB freed, the sessions), cheapest first."""
         s, found = self.set, []
         for (cls, rung, title), bucket in server.buckets.items():
             kind = s.classes[cls]
             if rung <= kind.floor:
                 continue
-            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.lowered >= pace]
+            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.lowered >= PACE]
             drop = (s.rung_worth[rung] - s.rung_worth[rung - 1]) * kind.worth
             high, low = self._rate(kind, rung), self._rate(kind, rung - 1)
             if not kind.live:
@@ -504,8 +502,7 @@
         """Lower playing sessions one rung, those first that lose least worth per kB and none that loses
         `worth` or more, until `kb` are free; with `whole` only where that much can be freed."""
         steps: list[Session] = []
-        pace = PACE if server.load() < DEEP else DEEP_PACE
-        for lost, freed, group in self._lowerable(now, server, pace):
+        for lost, freed, group in self._lowerable(now, server):
             if kb <= 0 or lost >= worth:
                 break
             steps += group
