--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -35,7 +35,7 @@
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
-FADE_AFTER = 6 * SECOND  # age from which evidence fades: longer than the usual time between notes
+FADE_AFTER = 3 * SECOND  # age from which evidence fades: longer than the usual time between notes
 FADE = 0.1  # part of the way to the prior that old evidence goes each second
 REPORT_LAG = 400 * MS  # how old a report's figures are taken to be; settings do not tell
 SWITCH_GAIN = 2.0  # raising a rung must earn this many times its price over the time left
@@ -315,7 +315,7 @@
     def _ask(self, now: int, server: Server) -> bool:
         """Where load is told by probes alone, look before the send, as a cub asks the next one. Each
         request pays for some probes, so that their price stays bounded."""
-        age = 2 * self.set.told_every if self.set.reports_in_answers else PROBE_AGE
+        age = max(PROBE_AGE, 2 * self.set.told_every if self.set.reports_in_answers else 0)
         if not self.set.probes or self.credit < 1 \
                 or now - max(server.link.seen_at + REPORT_LAG, server.probed) < age:
             return False
@@ -530,7 +530,7 @@
     def _raise(self, now: int, server: Server) -> None:
         """Use lasting room: raise the playing session that gains most per kB, within this front's share."""
         s = self.set
-        if server.gone or server.bad > BAD or self.held:
+        if server.gone or server.bad > BAD or self.held or now - server.link.seen_at > FADE_AFTER:
             return
         room = server.room(UP_MARK) / s.fronts
         best: tuple[float, float, list[Session]] | None = None
