--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -48,7 +48,6 @@
 RETEST_MOST = 8 * SECOND  # longest such wait: outages seen last 5 to 30 s
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
 PROBES = 1.5  # probes that each request pays for; dear ones would cost more worth than they save
-PROBES_KEPT = 4  # probes that the round of the stalest servers leaves for sends
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
 SILENT = 0.2  # a delivered share below this is a stopped server, not a full link
 
@@ -642,7 +641,7 @@
                 else:
                     self._place(now, session)
             stale = [x for x in self.servers.values() if x.buckets and not x.gone]
-            if stale and self.credit > PROBES_KEPT:
+            if stale:
                 self._ask(now, min(stale, key=lambda x: max(x.link.seen_at, x.probed)))
             if self.pumps % 4 == 0:
                 for meter in (*self.racks.values(), *(x.link for x in self.servers.values())):
