--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -604,7 +604,7 @@
                 self._forget(session)
             elif now >= session.deadline or session.attempts >= self.set.max_attempts:
                 self._refuse(session)
-            elif not self._place(now, session):
+            elif code == Code.FULL or not self._place(now, session):
                 self._hold(now, session)
         if server is not None and (playing or event.over):
             self._retry(now, server)
