--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -35,7 +35,7 @@
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
-FADE_AFTER = 3 * SECOND  # age from which evidence fades: longer than the usual time between notes
+FADE_AFTER = 3 * SECOND  # least age from which evidence fades; where notes are rarer, their spacing
 FADE = 0.1  # part of the way to the prior that old evidence goes each second
 REPORT_LAG = 400 * MS  # how old a report's figures are taken to be; settings do not tell
 SWITCH_GAIN = 2.0  # raising a rung must earn this many times its price over the time left
@@ -94,9 +94,9 @@
         self.trail.appendleft((at, own))
         self.seen, self.seen_own, self.seen_at, self.seen_fleet = value, own, at, self.prior()
 
-    def fade(self, now: int) -> None:
+    def fade(self, now: int, after: int) -> None:
         """Old evidence of the other fronts gives way to the prior: a full link may long be free."""
-        if now - self.seen_at > FADE_AFTER:
+        if now - self.seen_at > after:
             self.seen += FADE * (self.seen_fleet - max(0.0, self.seen - self.seen_own / self.cap))
 
     def prior(self) -> float:
@@ -180,6 +180,7 @@
                         for k in settings.classes)
         self.pumps = 0
         self.credit = 0.0
+        self.fresh = max(FADE_AFTER, settings.told_every + settings.told_late)
         self.out: list[Action] = []
         self.on: dict[type, Callable[[int, Any], None]] = {
             Request: self._request, Outcome: self._outcome, Note: self._note, Opened: self._opened,
@@ -530,7 +531,7 @@
     def _raise(self, now: int, server: Server) -> None:
         """Use lasting room: raise the playing session that gains most per kB, within this front's share."""
         s = self.set
-        if server.gone or server.bad > BAD or self.held or now - server.link.seen_at > FADE_AFTER:
+        if server.gone or server.bad > BAD or self.held or now - server.link.seen_at > self.fresh:
             return
         room = server.room(UP_MARK) / s.fronts
         best: tuple[float, float, list[Session]] | None = None
@@ -645,7 +646,7 @@
                 self._ask(now, min(stale, key=lambda x: max(x.link.seen_at, x.probed)))
             if self.pumps % 4 == 0:
                 for meter in (*self.racks.values(), *(x.link for x in self.servers.values())):
-                    meter.fade(now)
+                    meter.fade(now, self.fresh)
                 for server in self.servers.values():
                     self._raise(now, server)
         elif event.token == 1:
@@ -716,10 +717,9 @@
         if code != Code.ERROR:
             server.lost = now
         server.bad += WEIGH * (1 - server.bad)
-        wait = min(RETEST << min(server.fails, 8), RETEST_MOST)
         if now >= server.retest or server.fails == 0:
             server.fails += 1
-            server.retest = now + wait
+            server.retest = now + min(RETEST << min(server.fails - 1, 8), RETEST_MOST)
 
     def _probed(self, now: int, event: Probed) -> None:
         server = self.servers.get(event.server)
