--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -44,8 +44,7 @@
 LIMIT_SHARE = 0.6  # most of the time left that one attempt may use, so that another still fits
 BAD = 0.2  # recent share of failures from which a server is kept to single trials
 WEIGH = 0.3  # weight of the newest attempt in that share
-RETEST = SECOND  # first wait before a trial of a bad server; doubles with each failure
-RETEST_MOST = 8 * SECOND  # longest such wait: outages seen last 5 to 30 s
+RETEST = 4 * SECOND  # wait before a trial of a bad server, times its share of failures: 1 s after the first
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
 PROBES = 1.5  # probes that each request pays for; dear ones would cost more worth than they save
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
@@ -147,7 +146,6 @@
     sent: int = NEVER
     lost: int = NEVER
     retest: int = NEVER
-    fails: int = 0
     bad: float = 0.0
     trial_out: bool = False
     gone: bool = False
@@ -225,7 +223,7 @@
         elif e.started and e.started != server.entry.started:
             # restarted: what was known of its link and health is of its life before
             server.link.learn(0.0, now)
-            server.fails, server.bad, server.retest = 0, 0.0, NEVER
+            server.bad, server.retest = 0.0, NEVER
         server.entry, server.places, server.gone = e, places, e.state != ServerState.READY
         link_kb = (e.weight if 0 < e.weight < 1e6 else 1.0) * s.weight_kb
         self.fleet.cap += link_kb - server.link.cap
@@ -705,9 +703,8 @@
     def _good(self, now: int, server: Server) -> None:
         if server.bad > BAD >= server.bad * (1 - WEIGH):
             self.out.append(Log(f"server {server.entry.server} trusted again"))
-        if server.lost > NEVER and server.fails:
+        if server.lost > NEVER and server.bad > BAD:
             server.lost = now  # it lost its sessions and answers again: cold from here at the latest
-        server.fails = 0
         server.bad *= 1 - WEIGH
         server.retest = now
 
@@ -717,9 +714,7 @@
         if code != Code.ERROR:
             server.lost = now
         server.bad += WEIGH * (1 - server.bad)
-        if now >= server.retest or server.fails == 0:
-            server.fails += 1
-            server.retest = now + min(RETEST << min(server.fails - 1, 8), RETEST_MOST)
+        server.retest = now + int(RETEST * server.bad)
 
     def _probed(self, now: int, event: Probed) -> None:
         server = self.servers.get(event.server)
