--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -33,7 +33,6 @@
 SHED_TO = 0.97  # fraction that they are lowered to; 0.9 gave up more worth than the odd shortfall costs
 UP_MARK = 0.7  # fraction that raising playing sessions may fill; the rest is kept for newcomers
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
-ROOM_PACE = SECOND  # the same to let a held session in: a crowd does not wait
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
 FADE_AFTER = 3 * SECOND  # least age from which evidence fades; where notes are rarer, their spacing
@@ -476,14 +475,14 @@
         session.lowered = now if rung < before else session.lowered
         self.out.append(Rate(session.r.ref, rung))
 
-    def _lowerable(self, now: int, server: Server, pace: int) -> list[tuple[float, float, list[Session]]]:
+    def _lowerable(self, now: int, server: Server) -> list[tuple[float, float, list[Session]]]:
         """What can be lowered at a server: (worth lost per kB, kB freed, the sessions), cheapest first."""
         s, found = self.set, []
         for (cls, rung, title), bucket in server.buckets.items():
             kind = s.classes[cls]
             if rung <= kind.floor:
                 continue
-            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.lowered >= pace]
+            able = [x for x in bucket.values() if x.phase == Phase.PLAYING and now - x.lowered >= PACE]
             drop = (s.rung_worth[rung] - s.rung_worth[rung - 1]) * kind.worth
             high, low = self._rate(kind, rung), self._rate(kind, rung - 1)
             if not kind.live:
@@ -502,7 +501,7 @@
         """Lower playing sessions one rung, those first that lose least worth per kB and none that loses
         `worth` or more, until `kb` are free; with `whole` only where that much can be freed."""
         steps: list[Session] = []
-        for lost, freed, group in self._lowerable(now, server, ROOM_PACE if whole else PACE):
+        for lost, freed, group in self._lowerable(now, server):
             if kb <= 0 or lost >= worth:
                 break
             steps += group
