--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -45,6 +45,7 @@
 BAD = 0.2  # recent share of failures from which a server is kept to single trials
 WEIGH = 0.3  # weight of the newest attempt in that share
 RETEST = 4 * SECOND  # wait before a trial of a bad server, times its share of failures: 1 s after the first
+BLIND = 0.8  # load of links taken for granted after the own restart, until evidence comes
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
 PROBES = 1.5  # probes that each request pays for; dear ones would cost more worth than they save
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
@@ -218,7 +219,8 @@
         if server is None:
             uplink = Meter(s.uplink_kb or 1e12, s.fronts - 1, self.fleet)
             rack = self.racks.setdefault(e.cell % s.racks, uplink)
-            server = Server(e, places, Meter(0.0, s.fronts - 1, self.fleet), rack)
+            blind = 0.0 if s.fronts == 1 or self.carried else BLIND
+            server = Server(e, places, Meter(0.0, s.fronts - 1, self.fleet, seen=blind), rack)
             self.servers[e.server] = server
         elif e.started and e.started != server.entry.started:
             # restarted: what was known of its link and health is of its life before
@@ -254,6 +256,9 @@
         server = self.servers.get(event.server)
         if server is None or r.ref in self.sessions or r.cls >= len(self.set.classes):
             return
+        if not self.carried:  # a fleet that starts together: own sessions are known, and tell of the others'
+            for meter in (*self.racks.values(), *(x.link for x in self.servers.values())):
+                meter.seen = 0.0
         self.carried = True
         session = self._session(now, r)
         session.attempts = 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,6 +1,7 @@
 """The design's mechanism, part by part: events in, actions out."""
 
 from copperyard import interface as api
+from copperyard.decide import Controller
 from tests.helpers import (
     LIVE,
     MS,
@@ -208,3 +209,15 @@
 def test_settings_of_the_helpers_are_as_the_tests_assume():
     assert settings().classes == (SAFE, PAID, LIVE)
     assert len(full_list().entries) == 4
+
+
+def test_after_its_own_restart_a_front_does_not_take_loaded_servers_for_empty():
+    def rung(event):
+        one = Controller(settings(fronts=3), 1)
+        one.handle(SECOND, full_list())
+        one.handle(SECOND, event)
+        return only(one.handle(2 * SECOND, request(1)), api.Rate)[0].rung
+
+    blind = rung(api.Wake(5))
+    handed_over = rung(api.Carried(request(50, home=3, holders=1, title=99), 3))
+    assert blind == 0 and handed_over == 2
