--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -46,6 +46,7 @@
 WEIGH = 0.3  # weight of the newest attempt in that share
 RETEST = 4 * SECOND  # wait before a trial of a bad server, times its share of failures: 1 s after the first
 BLIND = 0.8  # load of links taken for granted after the own restart, until evidence comes
+TRIALS = SECOND  # time between trials by choice: a cut zone would take every session's first attempt
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
 PROBES = 1.5  # probes that each request pays for; dear ones would cost more worth than they save
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
@@ -179,6 +180,7 @@
                         for k in settings.classes)
         self.pumps = 0
         self.credit = 0.0
+        self.tried = NEVER
         self.fresh = max(FADE_AFTER, settings.told_every + settings.told_late)
         self.out: list[Action] = []
         self.on: dict[type, Callable[[int, Any], None]] = {
@@ -294,7 +296,7 @@
                 elif now >= server.retest and not server.trial_out:
                     trials.append(server)
         safe = session.kind.effect == Effect.SAFE
-        if trials and (safe and session.attempts == 0 or not legal):
+        if trials and (safe and session.attempts == 0 and now - self.tried >= TRIALS or not legal):
             server = trials[self.random.randrange(len(trials))]
             rung = self._fit(session, server)
             if rung >= 0:
@@ -418,6 +420,7 @@
         if session.attempts:
             self.resent.append(now)
         session.trial = server.bad > BAD
+        self.tried = now if session.trial else self.tried
         server.trial_out = server.trial_out or session.trial
         server.sent = now
         self.held.pop(session.r.ref, None)
@@ -627,11 +630,7 @@
 
     def _retry(self, now: int, server: Server) -> None:
         """A session ended at a server: retry those held at the head whose title it holds."""
-        looked = 0
-        for session in list(self.held.values()):
-            looked += 1
-            if looked > SCAN:
-                break
+        for session in list(self.held.values())[:SCAN]:
             if self._holds(session, server):
                 self._place(now, session)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -63,3 +63,12 @@
     first = sends(one.handle(SECOND, request(1)))[0].server
     then = sends(one.handle(SECOND + MS, api.Outcome(1, 0, first, api.Code.ERROR, MS, False)))
     assert then and then[0].server != first
+
+
+def test_trials_by_choice_are_rationed_over_all_servers():
+    """A cut zone makes many servers bad at once; not every session's first attempt may go to them."""
+    one = front()
+    for k in range(2):
+        spoil(one, SECOND + k * MS, 1 + k, api.Code.CONNECT_FAILED, server=k)
+    picked = [sends(one.handle(4 * SECOND, request(k, title=k)))[0].server for k in range(10, 16)]
+    assert sum(server in (0, 1) for server in picked) <= 1
