--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -321,7 +321,7 @@
     def _ask(self, now: int, server: Server) -> bool:
         """Where load is told by probes alone, look before the send, as a cub asks the next one. Each
         request pays for some probes, so that their price stays bounded."""
-        age = max(PROBE_AGE, 2 * self.set.told_every if self.set.reports_in_answers else 0)
+        age = self.fresh if self.set.reports_in_answers else PROBE_AGE
         if not self.set.probes or self.credit < 1 \
                 or now - max(server.link.seen_at + REPORT_LAG, server.probed) < age:
             return False
@@ -644,7 +644,7 @@
                 else:
                     self._place(now, session)
             stale = [x for x in self.servers.values() if x.buckets and not x.gone]
-            if stale:
+            if stale and not self.set.reports_in_answers:
                 self._ask(now, min(stale, key=lambda x: max(x.link.seen_at, x.probed)))
             if self.pumps % 4 == 0:
                 for meter in (*self.racks.values(), *(x.link for x in self.servers.values())):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -221,3 +221,12 @@
     blind = rung(api.Wake(5))
     handed_over = rung(api.Carried(request(50, home=3, holders=1, title=99), 3))
     assert blind == 0 and handed_over == 2
+
+
+def test_where_notes_should_come_a_probe_is_sent_only_once_evidence_is_old():
+    one = front(probes=True, told_every=2 * SECOND)
+    for k in range(3):
+        load(one, 20 * SECOND, k, 0.2, 0.2)
+    assert sends(one.handle(21 * SECOND, request(1)))  # fresh: no probe
+    late = one.handle(40 * SECOND, request(2, title=8))
+    assert only(late, api.Probe) and not sends(late)
