--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -4,8 +4,9 @@
 start out from its own view of link and uplink where it can, and holds what does not fit at the
 head of a queue. docs/design.md tells what was kept, changed and added, and when each acts.
 
-Parts: Meter and Server (ledger), Health (verdicts), Guards (is a send legal), Controller (queue
-and dispatch). Nothing here reads a clock, and no set is ever iterated.
+Parts: Meter and Server are the ledger; the Controller's sections own guards (is a send legal), rungs,
+queue, evidence and health (symptoms to one verdict per server). Nothing here reads a clock, and no
+set is ever iterated.
 """
 
 from __future__ import annotations
@@ -691,8 +692,8 @@
             meter.learn(min(value, 4.0), at)
             self._shed(now, server, at)
         elif event.kind == NoteKind.SHARE:
-            if value < SILENT:
-                return
+            if value < SILENT:  # nothing comes any more: a stopped server, not a full link
+                return self._failed(now, server, Code.ERROR)
             over = 1 / value
             meter = server.rack if server.rack.load() > server.link.load() else server.link
             if value < 0.98:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -72,3 +72,13 @@
         spoil(one, SECOND + k * MS, 1 + k, api.Code.CONNECT_FAILED, server=k)
     picked = [sends(one.handle(4 * SECOND, request(k, title=k)))[0].server for k in range(10, 16)]
     assert sum(server in (0, 1) for server in picked) <= 1
+
+
+def test_silence_towards_playing_sessions_is_a_symptom():
+    """A hung server answers nothing and delivers nothing; without this it would look idle."""
+    one = front()
+    sends(one.handle(SECOND, request(1, home=0, holders=1)))
+    one.handle(SECOND, api.Opened(1, 0, 0, MS))
+    one.handle(3 * SECOND, api.Note(1, 0, 0, api.NoteKind.SHARE, 0.05))
+    won = {sends(one.handle(3 * SECOND + MS, request(k, title=k)))[0].server for k in range(10, 18)}
+    assert 0 not in won
