--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -139,16 +139,16 @@
         value = self.rng.choice([None, 0.0, 0.3, 0.9, 1.1, 50.0, -3.0, float("nan"), float("inf")])
         return None if value is None else api.Report(value, self.rng.choice([None, 0.2, 1.2, float("nan")]))
 
-    def request(self):
+    def request(self, crowd=False):
         rng, self.ref = self.rng, self.ref + 1
-        cls = rng.randrange(4)
+        cls = 1 if crowd else rng.choice([0, 1, 1, 2, 3])
         deadline = self.now + rng.choice([300 * MS, 2 * SECOND, 9 * SECOND])
         r = api.Request(
             self.ref,
             cls,
-            rng.randrange(3),
+            2 if crowd else rng.randrange(3),
             deadline,
-            rng.randrange(3),
+            0 if crowd else rng.randrange(3),
             rng.randrange(4),
             rng.choice([1, 3, 4]),
             rng.choice([None, 0, 20 * SECOND]),
@@ -160,7 +160,10 @@
 
     def act(self, op):
         rng, out, playing = self.rng, list(self.out.items()), list(self.playing.items())
-        if op <= 4:
+        if op == 0:
+            for _ in range(4):  # a crowd for one title of the class with seats
+                self.request(crowd=True)
+        elif op <= 4:
             self.request()
         elif op <= 6 and out:
             ref, (n, server, _) = rng.choice(out)
