--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -178,3 +178,13 @@
 def test_no_advice_where_clients_get_none():
     one = front(retry_after=False, classes=(replace(SAFE, floor=1),))
     assert only(one.handle(SECOND, request(1, top=0)), api.Refuse)[0].retry_after == 0
+
+
+def test_a_viewer_that_left_during_set_up_is_not_touched_when_the_set_up_completes():
+    one = front()
+    server = sends(one.handle(SECOND, request(1, home=0, holders=1)))[0].server
+    one.handle(SECOND + MS, api.Left(1))
+    assert not one.handle(SECOND + 2 * MS, api.Opened(1, 0, server, MS))
+    for k in range(4):
+        loaded = api.Probed(server, api.Code.OK, MS, api.Report(2.0, 2.0))
+        assert not only(one.handle((3 + k) * SECOND, loaded), api.Rate)
