--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -390,17 +390,18 @@
     def _fit(self, now: int, session: Session, server: Server) -> int:
         """The highest rung that fits under the mark on link and uplink, or -1."""
         for rung in range(session.top, session.kind.floor - 1, -1):
-            if self._adds(session, server, rung) <= server.room(now, self._mark(session.kind, rung)):
+            adds = self._adds(session, server, rung)
+            if adds <= server.room(now, self._mark(session.kind, rung, adds / self._rate(session.kind, rung))):
                 return rung
         return -1
 
-    def _mark(self, kind: ClassSettings, rung: int) -> float:
+    def _mark(self, kind: ClassSettings, rung: int, part: float) -> float:
         """The mark, lower for rungs whose last step brings less worth per kB: the highest fitting rung would
-        starve those who come next, at the other fronts too."""
+        starve those who come next, at the other fronts too. A joining viewer adds a `part` of the rate."""
         if rung <= kind.floor:
             return MARK
         kb, worth = self.set.rung_kb, self.set.rung_worth
-        step = (worth[rung] - worth[rung - 1]) / (kb[rung] - kb[rung - 1])
+        step = (worth[rung] - worth[rung - 1]) / (kb[rung] - kb[rung - 1]) / part
         return MARK - SPREAD * max(0.0, 1 - step * kind.worth / kind.scale / self.best)
 
     # ---- guards
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -264,3 +264,14 @@
     assert sends(one.handle(21 * SECOND, request(1)))  # fresh: no probe
     late = one.handle(40 * SECOND, request(2, title=8))
     assert only(late, api.Probe) and not sends(late)
+
+
+def test_a_joining_viewer_gets_a_higher_rung_than_its_full_rate_would_allow():
+    """The mark of a rung goes by worth per kB that is added: a joining viewer adds a part only."""
+    one = front()
+    first = play(one, 1, cls=2)
+    for k in range(3):
+        load(one, 2 * SECOND, k, 0.8, 0.8)
+    joined = one.handle(3 * SECOND, request(2, cls=2))
+    assert sends(joined)[0].server == first and only(joined, api.Rate)[0].rung == 2
+    assert only(one.handle(3 * SECOND, request(3)), api.Rate)[0].rung < 2
