--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -377,8 +377,7 @@
 
     def _adds(self, session: Session, server: Server, rung: int) -> float:
         """kB that the session adds at a server: a live title's further viewer adds only a part."""
-        rate = self._rate(session.kind, rung)
-        return rate * self.set.join_adds if self._joins(session, server, rung) else rate
+        return self._rate(session.kind, rung) * (self.set.join_adds if self._joins(session, server, rung) else 1)
 
     def _joins(self, session: Session, server: Server, rung: int) -> bool:
         """Whether a live title's stream runs there already, for viewers of this front."""
@@ -390,8 +389,8 @@
     def _fit(self, now: int, session: Session, server: Server) -> int:
         """The highest rung that fits under the mark on link and uplink, or -1."""
         for rung in range(session.top, session.kind.floor - 1, -1):
-            adds = self._adds(session, server, rung)
-            if adds <= server.room(now, self._mark(session.kind, rung, adds / self._rate(session.kind, rung))):
+            part = self.set.join_adds if self._joins(session, server, rung) else 1.0
+            if self._adds(session, server, rung) <= server.room(now, self._mark(session.kind, rung, part)):
                 return rung
         return -1
 
