Streams are found by title, not by walking own servers; one index serves seats and joining

A request looked at every server with own sessions, which grows with the fleet where one front holds all.

--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
+from itertools import islice
 from typing import Any
 
 from .interface import (
@@ -170,16 +171,14 @@
         self.random = random.Random(seed)
         self.servers: dict[int, Server] = {}
         self.cells: dict[int, list[Server]] = {}
-        self.busy: dict[int, Server] = {}
         self.racks: dict[int, Meter] = {}
         unseen = BLIND if settings.fronts > 1 else 0.0
         self.links, self.uplinks = Pool(unseen), Pool(unseen)
         self.sessions: dict[int, Session] = {}
         self.held: dict[int, Session] = {}
-        self.seats: dict[tuple[int, int], int] = {}
+        self.seats: dict[tuple[int, int], dict[int, Session]] = {}
         self.taken: deque[int] = deque()
         self.resent: deque[int] = deque()
-        self.span = max(settings.ratio_span, settings.fall)
         self.start = -1
         self.carried = False
         self.pumping = False
@@ -187,7 +186,6 @@
         self.best = max(settings.rung_worth[k.floor] / settings.rung_kb[k.floor] * k.worth / k.scale
                         for k in settings.classes)
         self.credit = 0.0
-        self.fresh = max(FRESH, settings.told_every + settings.told_late)
         self.out: list[Action] = []
         self.on: dict[type, Callable[[int, Any], None]] = {
             Request: self._request, Outcome: self._outcome, Note: self._note, Opened: self._opened,
@@ -258,7 +256,7 @@
         if r.ref in self.sessions or r.cls >= len(self.set.classes):
             return
         self.taken.append(now)
-        while self.taken[0] <= now - self.span:
+        while self.taken[0] <= now - max(self.set.ratio_span, self.set.fall):
             self.taken.popleft()
         self.credit = min(self.credit + PROBES, SCAN)
         session = self._session(now, r)
@@ -266,11 +264,12 @@
             self._refuse(session)  # no rung is both allowed and usable: waiting cannot help
         elif not self._place(now, session):
             self._hold(now, session)
-        if self.busy and not self.set.reports_in_answers and self.credit > PROBES:
-            # what no send needed renews the view of a server with own sessions, each in its turn
-            server = self.busy.pop(next(iter(self.busy)))
-            self.busy[server.entry.server] = server
-            self._ask(now, server)
+        if self.sessions and not self.set.reports_in_answers and self.credit > PROBES:
+            # what no send needed renews the view of a server with own sessions, each session in its turn
+            one = self.sessions.pop(next(iter(self.sessions)))
+            self.sessions[one.r.ref] = one
+            if one.server is not None:
+                self._ask(now, one.server)
 
     def _carried(self, now: int, event: Carried) -> None:
         r = event.request
@@ -330,7 +329,8 @@
         """Listed holders of the title in a drawn order, DRAWS cells at most."""
         n = max(0, min(session.r.holders, self.set.cells))
         if session.kind.live:  # joining a stream adds the least
-            yield from [x for x in self.busy.values() if self._runs(session, x)][:DRAWS]
+            own = islice(self._seated(session).values(), DRAWS)
+            yield from [x.server for x in own if x.server is not None]
         for step in self.random.sample(range(n), min(n, DRAWS)):
             yield from self.cells.get((session.r.home + step) % self.set.cells, ())
 
@@ -353,7 +353,7 @@
                 far.append((server, rung))
             else:
                 fits.append((server, rung))
-                if len(fits) == 2 or self._joins(session, server, rung):
+                if len(fits) == 2 or self._part(session, server, rung) < 1:
                     break
         best = max((worth[rung] for _, rung in fits), default=0.0)
         fits += [one for one in far if worth[one[1]] - best > price][:2 - len(fits)]
@@ -363,9 +363,10 @@
     def _ask(self, now: int, server: Server) -> bool:
         """Look before the send where evidence is old, as a cub asks the next one; each request pays for
         some probes, so that their price stays bounded."""
-        age = self.fresh if self.set.reports_in_answers else PROBE_AGE
-        if not self.set.probes or self.credit < 1 \
-                or now - max(server.link.seen_at + REPORT_LAG, server.probed) < age:
+        s = self.set
+        age = max(FRESH, s.told_every + s.told_late) if s.reports_in_answers else PROBE_AGE
+        known = max(server.link.seen_at + REPORT_LAG, server.probed)
+        if not s.probes or self.credit < 1 or now - known < age:
             return False
         self.credit -= 1
         server.probed, server.asked = now, True
@@ -377,20 +378,17 @@
 
     def _adds(self, session: Session, server: Server, rung: int) -> float:
         """kB that the session adds at a server: a live title's further viewer adds only a part."""
-        return self._rate(session.kind, rung) * (self.set.join_adds if self._joins(session, server, rung) else 1)
-
-    def _joins(self, session: Session, server: Server, rung: int) -> bool:
-        """Whether a live title's stream runs there already, for viewers of this front."""
-        return session.kind.live and (session.r.cls, rung, session.r.title) in server.buckets
+        return self._rate(session.kind, rung) * self._part(session, server, rung)
 
-    def _runs(self, session: Session, server: Server) -> bool:
-        return any(self._joins(session, server, rung) for rung in range(session.top + 1))
+    def _part(self, session: Session, server: Server, rung: int) -> float:
+        key = (session.r.cls, rung, session.r.title)
+        return self.set.join_adds if session.kind.live and key in server.buckets else 1.0
 
     def _fit(self, now: int, session: Session, server: Server) -> int:
         """The highest rung that fits under the mark on link and uplink, or -1."""
         for rung in range(session.top, session.kind.floor - 1, -1):
-            part = self.set.join_adds if self._joins(session, server, rung) else 1.0
-            if self._adds(session, server, rung) <= server.room(now, self._mark(session.kind, rung, part)):
+            mark = self._mark(session.kind, rung, self._part(session, server, rung))
+            if self._adds(session, server, rung) <= server.room(now, mark):
                 return rung
         return -1
 
@@ -415,9 +413,10 @@
             return False  # drains: the grace is not used
         if session.attempts >= s.max_attempts or session.phase != Phase.HELD:
             return False
-        if server.streams >= server.places and not self._runs(session, server):
-            return False
-        if session.kind.seats and self.seats.get((session.r.cls, session.r.title), 0) >= session.kind.seats:
+        if server.streams >= server.places \
+                and all(self._part(session, server, rung) == 1 for rung in range(session.top + 1)):
+            return False  # a further viewer of a stream that runs takes no place
+        if session.kind.seats and len(self._seated(session)) >= session.kind.seats:
             return False
         if session.attempts and s.free_resends is not None:
             taken = sum(1 for t in self.taken if t > now - s.ratio_span)
@@ -490,16 +489,18 @@
         kb = self._adds(session, server, session.rung)
         server.link.add(now, n * kb)
         server.rack.add(now, n * kb)
-        if not self._joins(session, server, session.rung):
-            server.streams += n  # a further viewer of a stream that runs takes no place
-        if server.streams:
-            self.busy[server.entry.server] = server
+        if self._part(session, server, session.rung) == 1:
+            server.streams += n
+        seated = self.seats.setdefault((session.r.cls, session.r.title), {})
+        if n > 0:
+            seated[session.r.ref] = session
         else:
-            self.busy.pop(server.entry.server, None)
-        seat = (session.r.cls, session.r.title)
-        self.seats[seat] = self.seats.get(seat, 0) + n
-        if not self.seats[seat]:
-            del self.seats[seat]
+            del seated[session.r.ref]
+        if not seated:
+            del self.seats[session.r.cls, session.r.title]
+
+    def _seated(self, session: Session) -> dict[int, Session]:
+        return self.seats.get((session.r.cls, session.r.title), {})
 
     def _key(self, session: Session) -> tuple[int, int, int]:
         return session.r.cls, session.rung, session.r.title if session.kind.live else 0
@@ -530,7 +531,7 @@
                 groups = [able] if able and (step > 0 or len(able) == len(bucket)) else []
             for group in groups:
                 n, join = len(group), s.join_adds if kind.live else 1.0
-                joins = self._joins(group[0], server, new)
+                joins = self._part(group[0], server, new) < 1
                 stays = kind.live and n < len(bucket)
                 kb = self._rate(kind, new) * (join * n if joins else 1 + join * (n - 1)) \
                     - self._rate(kind, rung) * (join * n if stays else 1 + join * (n - 1))
@@ -642,8 +643,7 @@
         if session is not None and session.phase == Phase.HELD:
             self._forget(session)
         elif session is not None:
-            # its attempt still counts until its outcome, but its rung is no longer touched
-            session.left, session.phase = True, Phase.OUT
+            session.left, session.phase = True, Phase.OUT  # booked until its outcome, its rung untouched
 
     # ---- queue
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -27,6 +27,7 @@
         "collections.abc",
         "dataclasses",
         "enum",
+        "itertools",
         "typing",
         "interface",
     }
