--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -149,7 +149,7 @@
     probed: int = NEVER
     asked: bool = False
     sent: int = NEVER
-    window: int = -1
+    slot: tuple[int, int] = (NEVER, 0)
     turn: bool = False
     lost: int = NEVER
     retest: int = NEVER
@@ -424,31 +424,28 @@
                 self.resent.popleft()
             if len(self.resent) + 1 > s.free_resends + s.further_ratio * taken:
                 return False
-        return not self._cold(now, server) or self._turn(now, server)
+        # cold: told of its start, witnessed its failure, or started after it
+        since = max(server.entry.started or NEVER, server.lost, NEVER if self.carried else self.start)
+        return now >= since + s.warm_within or self._turn(now, server, since)
 
-    def _turn(self, now: int, server: Server) -> bool:
+    def _turn(self, now: int, server: Server, since: int) -> bool:
         """Whether a set-up at a cold server is this front's to send: each window in which set-ups are
-        counted is a slot, and a seeded draw says whose, so that all fronts together keep the budget. The
-        fewer wants (the others taken to be like this front) the likelier, else no turn would find work."""
+        counted is a slot, a seeded draw says whose, so that all fronts together keep the budget. The fewer
+        wants (the others taken to be like this one) the likelier, else no turn would find work."""
         s = self.set
         pace = s.fall_multiple * server.places * s.cold_from * COLD_SHARE
         gap = s.warm_within / pace if pace > 0 else math.inf
         if now - server.sent < min(s.fronts * gap, max(s.fall, gap)):
             return False
-        window = now // max(1, s.fall)
-        if window != server.window:
-            server.window = window
-            budget = pace * s.fall / max(1, s.warm_within)
+        slot = (since, (now - since) // max(1, s.fall))
+        if slot != server.slot:
+            server.slot = slot
             recent = sum(1 for t in self.taken if t > now - s.fall)
-            wants = min(1.0, (2 * recent + DRAWS * len(self.held)) / s.cells)
-            server.turn = self.random.random() * s.fronts * wants <= budget
+            crowd = any(self._holds(x, server) for x in self.held.values())  # then at every front, perhaps
+            wants = 1.0 if crowd else min(1.0, 2 * recent / s.cells)
+            server.turn = self.random.random() * s.fronts * wants <= pace * s.fall / max(1, s.warm_within)
         return server.turn
 
-    def _cold(self, now: int, server: Server) -> bool:
-        """Told of its start, witnessed its failure, or started after it."""
-        own = NEVER if self.carried else self.start
-        return now < max(server.entry.started or NEVER, server.lost, own) + self.set.warm_within
-
     # ---- sending
 
     def _send(self, now: int, session: Session, server: Server, rung: int) -> bool:
