--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from .interface import (
-    Action, Cancel, Carried, ClassSettings, Code, Effect, Event, Fail, Left, ListKind, Log, Note, NoteKind, Opened,
+    Action, Carried, ClassSettings, Code, Effect, Event, Fail, Left, ListKind, Log, Note, NoteKind, Opened,
     Outcome, Probe, Probed, Rate, Refuse, Report, Request, Send, ServerEntry, ServerList, ServerState,
     SetTimer, Settings, Wake, Watch
 )
@@ -619,8 +619,6 @@
                 self._failed(now, server, code)
             elif code == Code.FULL and server.link.load(now) < 1:
                 server.link.learn(now, 1.0, now, False)  # at its end, until other evidence
-        if code == Code.TIMEOUT and self.set.cancelling:
-            self.out.append(Cancel(event.ref, event.attempt))  # what it set up unanswered would hold the link
         if event.over or session.left or playing:
             self._forget(session)
         else:
