--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -30,7 +30,6 @@
 SHED_AT = 0.98  # fraction from which playing sessions are lowered: under this share worth is lost
 SHED_TO = 0.97  # fraction that they are lowered to; 0.9 gave up more worth than the odd shortfall costs
 UP_MARK = 0.7  # fraction that raising playing sessions may fill; the rest is kept for newcomers
-SHARED = 4.0  # viewers of other fronts a holder from which a stream is taken to go on without this front's
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
@@ -529,9 +528,8 @@
                 groups = [able] if able and (step > 0 or len(able) == len(bucket)) else []
             for group in groups:
                 n, join = len(group), s.join_adds if kind.live else 1.0
-                crowd = (s.fronts - 1) * len(self._seated(group[0])) >= SHARED * group[0].r.holders
-                joins = self._part(group[0], server, new) < 1 or kind.live and crowd
-                stays = kind.live and (n < len(bucket) or crowd)
+                joins = self._part(group[0], server, new) < 1
+                stays = kind.live and n < len(bucket)
                 kb = self._rate(kind, new) * (join * n if joins else 1 + join * (n - 1)) \
                     - self._rate(kind, rung) * (join * n if stays else 1 + join * (n - 1))
                 if kb * step > 0:
