--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -30,7 +30,6 @@
 SHED_AT = 0.98  # fraction from which playing sessions are lowered: under this share worth is lost
 SHED_TO = 0.97  # fraction that they are lowered to; 0.9 gave up more worth than the odd shortfall costs
 UP_MARK = 0.7  # fraction that raising playing sessions may fill; the rest is kept for newcomers
-UP_SHARE = 0.2  # part of the room taken at one piece of news: streams that fronts share count at each of them
 PACE = 5 * SECOND  # a session is lowered or raised at most once in this time (the design's figure)
 PUMP = 250 * MS  # held sessions are retried this often besides at session ends
 SCAN = 16  # held sessions looked at when a session ends, so that one event stays cheap
@@ -586,7 +585,7 @@
         for _, kb, group in self._steps(now, server, 1):
             if kb <= server.room(now, MARK):
                 server.acted = now
-                if self.random.random() * kb <= UP_SHARE * room:
+                if self.random.random() * kb <= room:
                     for one in group:
                         self._step(now, one, one.rung + 1)
                 return
