--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -26,6 +26,9 @@
     {"weight_kb": 300.0, "max_attempts": 5},
     {"cold_from": 0.0},
     {"warm_within": 0},
+    {"fronts": 80, "probes": True, "reports_in_answers": False},
+    {"fronts": 250, "cells": 150, "racks": 17},
+    {"fronts": 250, "told_every": 2 * SECOND, "probes": True},
 ]
 
 
