--- a/copperyard/wire.py
+++ b/copperyard/bench/wire.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from . import interface as api
+from .. import interface as api
 
 HEADER = struct.Struct("<IQII")
 REPLY = struct.Struct("<II")
--- a/copperyard/wirehost.py
+++ b/copperyard/bench/wirehost.py
@@ -6,8 +6,8 @@
 from typing import BinaryIO
 
 from . import wire
-from .decide import Controller
-from .interface import Event
+from ..decide import Controller
+from ..interface import Event
 
 
 def _exactly(stream: BinaryIO, size: int) -> bytes:
--- a/copperyard/interface.py
+++ b/copperyard/interface.py
@@ -1,6 +1,6 @@
 """The types that go in and out of the decision module: settings, events, actions, outcomes.
 
-Types only. Every decision is in decide.py; the bytes of the wire are in wire.py.
+Types only. Every decision is in decide.py; the bytes of the wire are in bench/wire.py.
 Times are integer nanoseconds on the front's own clock, rates are kB a second, loads are
 fractions of what a link or uplink gives (1.0 = all of it).
 """
