--- /dev/null
+++ b/copperyard/control/__init__.py
@@ -0,0 +1,1 @@
+"""Per-session life and further decisions of a front, without I/O."""
--- /dev/null
+++ b/copperyard/control/core.py
@@ -0,0 +1,70 @@
+"""One front without its sockets: the viewers' side, the life of wishes, the list, and time, in one piece.
+
+The I/O calls a method for each thing that happens, passing its clock, and then carries out what `take` gives.
+"""
+
+from __future__ import annotations
+
+import random
+
+from ..interface import ListKind, ServerList
+from ..membership.roster import BadList, Roster
+from .catalogue import Catalogue
+from .orders import Line, Order
+from .plays import Plays
+from .rules import FrontRules
+from .visits import Visits
+
+
+class Core:
+    """A front. `seed` feeds the module's draws and, through `rng`, session ids and sources."""
+
+    def __init__(self, rules: FrontRules, catalogue: Catalogue, zones: tuple[str, ...], seed: int,
+                 rng: random.Random, name: str) -> None:
+        self.rules = rules
+        # a front that comes back under its name is another one to hosts: its requests are numbered anew
+        name = self.label = f"{name}.{rng.getrandbits(32):08x}"
+        self._orders: list[Order] = []
+        self.roster = Roster(zones, rules.settings.cells)
+        self.plays = Plays(rules, seed, name, self._orders)
+        self.visits = Visits(rules, catalogue, self.plays, rng, self._orders, name)
+
+    def take(self) -> list[Order]:
+        """The orders since the last call, in order."""
+        orders = self._orders[:]
+        self._orders.clear()
+        return orders
+
+    def start(self, now: int) -> None:
+        """The front starts knowing no list; with its first event the module asks to follow it."""
+        self.plays.listed(now, ServerList(ListKind.CACHED), {})
+
+    def list_body(self, now: int, body: bytes) -> bool:
+        """An answer of the list service. False where it made no sense and the whole list is needed."""
+        try:
+            news = self.roster.take(now, body)
+        except BadList as error:
+            self._orders.append(Line("list not taken", (("text", str(error)),)))
+            return False
+        if news is not None:
+            self._orders.append(Line("list", (("generation", self.roster.generation or 0),
+                                              ("lines", len(news.entries)))))
+            self.plays.listed(now, news, self.roster.addresses)
+        return True
+
+    def list_failed(self, now: int, text: str) -> None:
+        """The list service did not answer, or its answer was of no use; the module says when to ask again."""
+        self._orders.append(Line("list failed", (("text", text),)))
+        self.plays.listed(now, ServerList(ListKind.FAILED), {})
+
+    def next_wake(self) -> int | None:
+        return self.plays.timers.next()
+
+    def wake(self, now: int) -> None:
+        """Time has passed: whatever is due happens."""
+        for key in self.plays.timers.due(now):
+            assert isinstance(key, tuple)
+            if key[0] == "idle":
+                self.visits.idle(now, key[1])
+            else:
+                self.plays.due(now, key)
--- /dev/null
+++ b/copperyard/gateway/daemon.py
@@ -0,0 +1,244 @@
+"""One running gateway: listeners, a nursery of connections, the core in the middle."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import trio
+from trio import TaskStatus
+
+from ..control.attempt import Attempt
+from ..control.catalogue import Catalogue
+from ..control.core import Core
+from ..control.orders import Ask, Flush, Follow, Hangup, Line, Start, Stop, Wrote
+from ..control.rules import FrontRules
+from ..control.visits import Visitor
+from .listing import ListPlace, follow
+from .net import Listener, Network, Signal, Stream, at, now
+from .upstream import Link, probe
+
+Logger = Callable[[str, Mapping[str, str | int]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Station:
+    """What a gateway needs to know at its start."""
+
+    name: str
+    listen: str
+    rules: FrontRules
+    catalogue: Catalogue
+    zones: tuple[str, ...]
+    hosts: ListPlace
+
+
+class Caller:
+    """A viewer's connection, as the rest of the gateway sees it."""
+
+    def __init__(self) -> None:
+        self.wake = Signal()
+        self.roomy = Signal()
+        self.hanging_up = False
+        self.feeds: dict[Link, None] = {}
+
+
+class Gateway:
+    """A front on a network. Every call into the core is followed by `_carry_out`; neither ever waits, so no
+    two tasks are within the core at once."""
+
+    def __init__(self, station: Station, network: Network, seed: int, rng: random.Random, log: Logger) -> None:
+        self.station, self.network, self.log = station, network, log
+        self.core = Core(station.rules, station.catalogue, station.zones, seed, rng, station.name)
+        self.address = ""
+        self._links: dict[Attempt, Link] = {}
+        self._callers: dict[Visitor, Caller] = {}
+        self._following: trio.CancelScope | None = None
+        self._timer = Signal()
+        self._wake_at: int | None = None
+        self._nursery: trio.Nursery | None = None
+        self._listener: Listener | None = None
+
+    async def run(self, task_status: TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; tells the address once it listens."""
+        listener = self._listener = await self.network.listen(self.station.listen)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self.address = listener.address
+                nursery.start_soon(self._ticks)
+                self.core.start(now())
+                self._carry_out()
+                task_status.started(listener.address)
+                nursery.start_soon(self._accept, listener)
+        finally:
+            listener.close()
+
+    async def drain(self, most: float) -> None:
+        """Take nothing new, let what plays come to its end for at most `most` s, then stop serving."""
+        self.core.visits.draining = True
+        if self._listener is not None:
+            self._listener.close()
+        with trio.move_on_after(most):
+            while self.core.plays.plays:
+                await trio.sleep(0.05)
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+
+    # ---- orders
+
+    def _carry_out(self) -> None:
+        nursery = self._nursery
+        if nursery is None:
+            return
+        for order in self.core.take():
+            if isinstance(order, Wrote):
+                caller = self._callers.get(order.visitor)
+                if caller is not None:
+                    caller.wake.set()
+            elif isinstance(order, Flush):
+                if order.attempt in self._links:
+                    self._links[order.attempt].wake.set()
+            elif isinstance(order, Start):
+                nursery.start_soon(self._upstream, order.attempt)
+            elif isinstance(order, Stop):
+                if order.attempt in self._links:
+                    self._links[order.attempt].stop()
+            elif isinstance(order, Hangup):
+                caller = self._callers.get(order.visitor)
+                if caller is not None:
+                    caller.hanging_up = True
+                    caller.wake.set()
+            elif isinstance(order, Ask):
+                nursery.start_soon(self._probe, order.server, order.address)
+            elif isinstance(order, Follow):
+                self._follow(nursery, order.on)
+            else:
+                assert isinstance(order, Line)
+                self.log(order.event, {"front": self.station.name, **dict(order.fields)})
+        wake = self.core.next_wake()
+        if wake != self._wake_at:
+            self._wake_at = wake
+            self._timer.set()
+
+    async def _ticks(self) -> None:
+        while True:
+            wake = self._wake_at
+            with trio.CancelScope(deadline=at(wake) if wake is not None else float("inf")):
+                await self._timer.wait()
+            time = now()
+            if wake is not None and time >= wake:
+                self.core.wake(time)
+                self._wake_at = None
+                self._carry_out()
+            elif wake is not None and self._wake_at == wake:
+                await trio.sleep(0)
+
+    def _follow(self, nursery: trio.Nursery, on: bool) -> None:
+        if self._following is not None:
+            self._following.cancel()
+            self._following = None
+        if on:
+            self._following = trio.CancelScope()
+            nursery.start_soon(self._follow_list, self._following)
+
+    async def _follow_list(self, scope: trio.CancelScope) -> None:
+        with scope:
+            await follow(self.network, self.core, self.station.hosts, self._carry_out)
+
+    async def _probe(self, server: int, address: str) -> None:
+        code, report = await probe(self.network, self.core, address)
+        self.core.plays.probed(now(), server, code, report)
+        self._carry_out()
+
+    async def _upstream(self, attempt: Attempt) -> None:
+        link = Link(self.core, self.network, attempt, self._carry_out)
+        play = self.core.plays.plays.get(attempt.plan.ref)
+        customer = play.customer if play is not None else None
+        visitor = getattr(customer, "visitor", None)
+        caller = self._callers.get(visitor) if visitor is not None else None
+        self._links[attempt] = link
+        if customer is not None and caller is not None:
+            link.blocked = lambda: visitor in self._callers and customer.blocked()
+            caller.feeds[link] = None
+        try:
+            if attempt.verdict is not None:
+                link.stop()
+            await link.run()
+        finally:
+            self._links.pop(attempt, None)
+            if caller is not None:
+                caller.feeds.pop(link, None)
+
+    # ---- viewers
+
+    async def _accept(self, listener: Listener) -> None:
+        assert self._nursery is not None
+        while True:
+            try:
+                stream = await listener.accept()
+            except (OSError, trio.ClosedResourceError):
+                if self.core.visits.draining:
+                    return
+                raise
+            self._nursery.start_soon(self._viewer, stream)
+
+    async def _viewer(self, stream: Stream) -> None:
+        visitor = self.core.visits.opened(stream.peer)
+        if visitor is None:
+            stream.close()
+            return
+        caller = self._callers[visitor] = Caller()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write, stream, visitor, caller, nursery.cancel_scope)
+                await self._read(stream, visitor, caller)
+                if not visitor.closing:
+                    nursery.cancel_scope.cancel()
+        finally:
+            stream.close()
+            del self._callers[visitor]
+            self.core.visits.closed(now(), visitor)
+            for link in caller.feeds:
+                link.roomy.set()
+            self._carry_out()
+
+    async def _read(self, stream: Stream, visitor: Visitor, caller: Caller) -> None:
+        while not visitor.closing:
+            try:
+                data = await stream.receive_some(16384)
+            except OSError:
+                return
+            if not data:
+                return
+            self.core.visits.received(now(), visitor, data)
+            self._carry_out()
+            while visitor.outbox.full:
+                # one that asks and asks and reads no answer is read no further itself
+                await caller.roomy.wait()
+
+    async def _write(self, stream: Stream, visitor: Visitor, caller: Caller, scope: trio.CancelScope) -> None:
+        outbox = visitor.outbox
+        while True:
+            data = outbox.peek()
+            if not data:
+                if caller.hanging_up:
+                    break
+                await caller.wake.wait()
+                continue
+            sent = 0
+            with trio.CancelScope(deadline=at(outbox.stalls_at() or 0)) as limit:
+                try:
+                    sent = await stream.send_some(data)
+                except OSError:
+                    break
+            if limit.cancelled_caught and not sent:
+                self.core.visits.stalled(now(), visitor)
+                break
+            outbox.took(now(), sent)
+            if outbox.roomy:
+                caller.roomy.set()
+                for link in caller.feeds:
+                    link.roomy.set()
+        scope.cancel()
--- /dev/null
+++ b/copperyard/gateway/net.py
@@ -0,0 +1,151 @@
+"""The network as the gateway sees it, and its form on TCP sockets. A virtual one fills the same shapes."""
+
+from __future__ import annotations
+
+import errno
+import socket as plain
+from typing import Protocol
+
+import trio
+
+CLOSED = (BrokenPipeError, ConnectionError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class Stream(Protocol):
+    """One connection. Reading gives b"" at the peer's end; both raise OSError once it broke."""
+
+    peer: str
+
+    async def receive_some(self, most: int) -> bytes:
+        """Bytes as they come, at most `most`."""
+
+    async def send_some(self, data: bytes) -> int:
+        """Write what fits now, at least a byte; how many were written."""
+
+    def close(self) -> None:
+        """Close at once, without waiting for anything."""
+
+
+class Listener(Protocol):
+    """A listening address."""
+
+    address: str
+
+    async def accept(self) -> Stream:
+        """The next connection."""
+
+    def close(self) -> None:
+        """Listen no more."""
+
+
+class Network(Protocol):
+    """Where connections come from. Addresses are `host:port`."""
+
+    async def connect(self, address: str) -> Stream:
+        """A connection; OSError where there is none to be had."""
+
+    async def listen(self, address: str) -> Listener:
+        """Listen; port 0 lets the system choose."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of `host:port` or `[v6]:port`."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class TcpStream:
+    """A TCP connection."""
+
+    def __init__(self, sock: trio.socket.SocketType, peer: str) -> None:
+        self._sock, self.peer = sock, peer
+        sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+
+    async def receive_some(self, most: int) -> bytes:
+        return await self._sock.recv(most)
+
+    async def send_some(self, data: bytes) -> int:
+        return await self._sock.send(data)
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+class TcpListener:
+    """A listening TCP socket."""
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self._sock = sock
+        host, port = sock.getsockname()[:2]
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+    async def accept(self) -> TcpStream:
+        while True:
+            try:
+                sock, peer = await self._sock.accept()
+                return TcpStream(sock, f"{peer[0]}:{peer[1]}")
+            except OSError as error:
+                # a peer that was gone before it was accepted, or no file descriptors for a while: neither may
+                # end the listener
+                if error.errno in (errno.ECONNABORTED, errno.EPERM, errno.EPROTO):
+                    continue
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    await trio.sleep(0.1)
+                    continue
+                raise
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+class TcpNetwork:
+    """TCP of this machine. `backlog`: connections that wait to be accepted."""
+
+    def __init__(self, backlog: int = 1024) -> None:
+        self.backlog = backlog
+
+    async def connect(self, address: str) -> TcpStream:
+        host, port = split_address(address)
+        sock = trio.socket.socket(plain.AF_INET6 if ":" in host else plain.AF_INET, plain.SOCK_STREAM)
+        try:
+            await sock.connect((host, port))
+        except BaseException:
+            sock.close()
+            raise
+        return TcpStream(sock, address)
+
+    async def listen(self, address: str) -> TcpListener:
+        host, port = split_address(address)
+        sock = trio.socket.socket(plain.AF_INET6 if ":" in host else plain.AF_INET, plain.SOCK_STREAM)
+        try:
+            sock.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
+            await sock.bind((host, port))
+            sock.listen(self.backlog)
+        except BaseException:
+            sock.close()
+            raise
+        return TcpListener(sock)
+
+
+def now() -> int:
+    """The clock of everything here, in ns: trio's, so that a virtual one serves as well."""
+    return round(trio.current_time() * 1e9)
+
+
+def at(ns: int) -> float:
+    """A time of that clock as trio's deadlines want it."""
+    return ns / 1e9
+
+
+class Signal:
+    """Wakes one waiting task; a set while nobody waits is kept."""
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+
+    def set(self) -> None:
+        self._event.set()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+        self._event = trio.Event()
--- /dev/null
+++ b/copperyard/gateway/upstream.py
@@ -0,0 +1,123 @@
+"""Connections to hosts: one task for each attempt, one for each probe."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..control.attempt import Attempt, Probing, Stage
+from ..control.core import Core
+from ..interface import Code, Report
+from .net import Network, Signal, Stream, at, now
+
+READ = 65536
+
+
+class Link:
+    """The task that runs an attempt, as the rest of the gateway sees it."""
+
+    def __init__(self, core: Core, network: Network, attempt: Attempt, carry_out: Callable[[], None]) -> None:
+        self.core, self.network, self.attempt = core, network, attempt
+        self.carry_out = carry_out
+        self.wake = Signal()
+        self.roomy = Signal()
+        self.scope = trio.CancelScope()
+        self.blocked: Callable[[], bool] = lambda: False
+
+    @property
+    def _connect_s(self) -> float:
+        return self.core.rules.settings.connect_timeout / 1e9
+
+    async def run(self) -> None:
+        """Connect, talk, close; the core hears of the end only after the close."""
+        stream: Stream | None = None
+        self.scope.deadline = at(self.attempt.limit)
+        try:
+            with self.scope:
+                with trio.move_on_after(self._connect_s):
+                    try:
+                        stream = await self.network.connect(self.attempt.plan.address)
+                    except OSError:
+                        stream = None
+                if stream is not None and self.core.plays.connected(now(), self.attempt):
+                    await self._talk(stream)
+            if self.scope.cancelled_caught and stream is not None:
+                self.core.plays.expired(now(), self.attempt)
+            if stream is not None and self.attempt.out and self.attempt.sent:
+                await self._last_words(stream)
+        finally:
+            if stream is not None:
+                stream.close()
+            self.core.plays.closed(now(), self.attempt)
+            self.carry_out()
+
+    def stop(self) -> None:
+        """The core ended the attempt."""
+        self.scope.cancel()
+
+    async def _talk(self, stream: Stream) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write, stream)
+            await self._read(stream)
+            nursery.cancel_scope.cancel()
+
+    async def _read(self, stream: Stream) -> None:
+        while True:
+            try:
+                data = await stream.receive_some(READ)
+            except OSError:
+                return
+            if not data:
+                return
+            self.core.plays.received(now(), self.attempt, data)
+            self.carry_out()
+            if self.attempt.stage is Stage.OPEN:
+                self.scope.deadline = float("inf")
+            while self.blocked():
+                await self.roomy.wait()
+
+    async def _write(self, stream: Stream) -> None:
+        out = self.attempt.out
+        while True:
+            while out:
+                try:
+                    sent = await stream.send_some(bytes(out))
+                except OSError:
+                    return  # the reader sees the end as well, with what the host said before it
+                del out[:sent]
+            await self.wake.wait()
+
+    async def _last_words(self, stream: Stream) -> None:
+        """A TEARDOWN, where the host takes it within the time for a connect."""
+        out = self.attempt.out
+        with trio.move_on_after(self._connect_s):
+            try:
+                while out:
+                    del out[:await stream.send_some(bytes(out))]
+            except OSError:
+                return
+
+
+async def probe(network: Network, core: Core, address: str) -> tuple[Code, Report | None]:
+    """Ask a host for its load, within the time for a connect."""
+    probing = Probing(address, core.rules.hosts)
+    stream: Stream | None = None
+    code = Code.CONNECT_FAILED
+    with trio.move_on_after(core.rules.settings.connect_timeout / 1e9):
+        try:
+            stream = await network.connect(address)
+            code, out = Code.TIMEOUT, probing.out
+            while out:
+                out = out[await stream.send_some(out):]
+            while data := await stream.receive_some(READ):
+                found = probing.receive(data)
+                if found is not None:
+                    stream.close()
+                    return found
+            code = Code.RESET
+        except OSError:
+            code = code if code is Code.CONNECT_FAILED else Code.RESET
+    if stream is not None:
+        stream.close()
+    return code, None
--- /dev/null
+++ b/copperyard/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-ins, faults, viewers, the auditor, rehearsals. All of it is simulated."""
--- /dev/null
+++ b/copperyard/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: the hosts that the list service names."""
--- /dev/null
+++ b/copperyard/membership/roster.py
@@ -0,0 +1,162 @@
+"""Follows the list of hosts: bodies of the list service in, interface.ServerList out.
+
+The service numbers its lists by generation. A body is either the whole list, or what changed since a
+generation. What does not follow on what is known is not applied: the whole list is asked for.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from ..interface import ListKind, ServerEntry, ServerList, ServerState
+
+MS = 1_000_000
+_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING, "gone": ServerState.GONE}
+MOST_HOSTS = 100_000
+
+
+class BadList(ValueError):
+    """A body of the list service that makes no sense as a whole; nothing of it was applied."""
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One host as the service names it. `age` is how long ago it started, in ns, None where long ago."""
+
+    name: str
+    address: str
+    cell: int
+    zone: int
+    kind: int
+    weight: float
+    state: ServerState
+    boot: str
+    age: int | None
+
+
+class Roster:
+    """The list as far as it was heard. `zones` are the names of zones in the order of their numbers."""
+
+    def __init__(self, zones: tuple[str, ...], cells: int) -> None:
+        self.zones, self.cells = zones, cells
+        self.generation: int | None = None
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.addresses: dict[int, str] = {}
+        self._started: dict[int, tuple[str, int]] = {}
+        self._next = 0
+
+    def take(self, now: int, body: bytes) -> ServerList | None:
+        """Read one answer of the service. None: nothing new. BadList: it makes no sense, or does not follow on
+        the generation that is known (then `generation` is None and the whole list is to be asked for)."""
+        try:
+            raw = json.loads(body.decode("utf-8"))
+        except (UnicodeDecodeError, ValueError, RecursionError) as error:
+            raise BadList(f"not JSON: {error}") from None
+        if not isinstance(raw, dict):
+            raise BadList("not an object")
+        generation = _whole(raw, "generation", 1 << 62)
+        since = _whole(raw, "since", 1 << 62) if raw.get("since") is not None else None
+        if since is not None and since != self.generation:
+            known, self.generation = self.generation, None
+            raise BadList(f"changes since generation {since}, but {known} is known")
+        if generation == self.generation:
+            return None
+        if self.generation is not None and generation < self.generation:
+            # a restarted or lagging service: an older list would bring back hosts that have gone
+            raise BadList(f"generation {generation} is older than {self.generation}")
+        lines = self._lines(raw)
+        self.generation = generation
+        entries = tuple(self._entry(now, line) for line in lines)
+        if since is None:
+            named = {entry.server for entry in entries}
+            for server in [s for s in self.addresses if s not in named]:
+                self._drop(server)
+        return ServerList(ListKind.FULL if since is None else ListKind.DELTA, entries)
+
+    def _lines(self, raw: dict[str, Any]) -> list[Line]:
+        hosts = raw.get("hosts")
+        if not isinstance(hosts, list) or len(hosts) > MOST_HOSTS:
+            raise BadList(f"hosts is no list of at most {MOST_HOSTS}")
+        lines = [self._line(n, host) for n, host in enumerate(hosts)]
+        names = {line.name for line in lines}
+        if len(names) != len(lines):
+            double = next(x.name for x in lines if sum(y.name == x.name for y in lines) > 1)
+            raise BadList(f"two hosts are named {double!r}")
+        # two names at one address would let one machine pass for two
+        live = [line for line in lines if line.state != ServerState.GONE]
+        if len({line.address for line in live}) != len(live):
+            double = next(x.address for x in live if sum(y.address == x.address for y in live) > 1)
+            raise BadList(f"two hosts have the address {double}")
+        return lines
+
+    def _line(self, n: int, host: Any) -> Line:
+        if not isinstance(host, dict):
+            raise BadList(f"hosts[{n}] is not an object")
+        try:
+            name, address, zone = host["id"], host["address"], host.get("zone", self.zones[0])
+            state, weight = host.get("state", "ready"), host.get("weight", 1.0)
+            boot = str(host.get("boot", ""))[:64]
+        except KeyError as error:
+            raise BadList(f"hosts[{n}] lacks {error.args[0]}") from None
+        if not isinstance(name, str) or not 0 < len(name) <= 64:
+            raise BadList(f"hosts[{n}].id is no text of 1 to 64 characters")
+        if not _address(address):
+            raise BadList(f"hosts[{n}].address is no host:port: {str(address)[:64]!r}")
+        if zone not in self.zones:
+            raise BadList(f"hosts[{n}].zone is none of the settings: {str(zone)[:64]!r}")
+        if state not in _STATES:
+            raise BadList(f"hosts[{n}].state is none of {', '.join(_STATES)}: {str(state)[:64]!r}")
+        if isinstance(weight, bool) or not isinstance(weight, int | float) or not math.isfinite(weight) \
+                or weight <= 0:
+            raise BadList(f"hosts[{n}].weight is no number above 0")
+        cell = _whole(host, "cell", self.cells - 1, f"hosts[{n}].")
+        age = _whole(host, "age_ms", 1 << 48, f"hosts[{n}].") * MS if host.get("age_ms") is not None else None
+        kind = _whole(host, "kind", 255, f"hosts[{n}].") if "kind" in host else 0
+        return Line(name, address, cell, self.zones.index(zone), kind, float(weight), _STATES[state], boot, age)
+
+    def _entry(self, now: int, line: Line) -> ServerEntry:
+        server = self.numbers.get(line.name)
+        if server is None:
+            server, self._next = self._next, self._next + 1
+            self.numbers[line.name], self.names[server] = server, line.name
+        self.addresses[server] = line.address
+        started = self._start(now, server, line)
+        if line.state == ServerState.GONE:
+            self._drop(server)
+        return ServerEntry(server, line.weight, line.kind, line.cell, line.zone, line.state, started)
+
+    def _start(self, now: int, server: int, line: Line) -> int:
+        """When the host's process began, by our clock: reckoned once for each boot, since a time that drifts
+        with each list's lateness would look like a restart to the module."""
+        if line.age is None:
+            return 0
+        boot, started = self._started.get(server, ("", 0))
+        if not started or boot != line.boot:
+            started = max(1, now - line.age)
+            self._started[server] = (line.boot, started)
+        return started
+
+    def _drop(self, server: int) -> None:
+        """A host that has gone loses its number, so that names that never return cost nothing; one that does
+        return is a new server."""
+        self.numbers.pop(self.names.pop(server, ""), None)
+        self.addresses.pop(server, None)
+        self._started.pop(server, None)
+
+
+def _whole(raw: dict[str, Any], key: str, most: int, where: str = "") -> int:
+    value = raw.get(key)
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= most:
+        raise BadList(f"{where}{key} is no whole number from 0 to {most}")
+    return value
+
+
+def _address(value: Any) -> bool:
+    if not isinstance(value, str) or len(value) > 255:
+        return False
+    host, colon, port = value.rpartition(":")
+    return bool(host and colon) and port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
--- /dev/null
+++ b/copperyard/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs and connection state machines without I/O: bytes in, events out."""
