--- /dev/null
+++ b/copperyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/copperyard/control/core.py
+++ b/copperyard/control/core.py
@@ -66,5 +66,7 @@
             assert isinstance(key, tuple)
             if key[0] == "idle":
                 self.visits.idle(now, key[1])
+            elif key[0] == "quiet":
+                self.visits.quiet(now, key[1])
             else:
                 self.plays.due(now, key)
--- a/copperyard/control/visits.py
+++ b/copperyard/control/visits.py
@@ -76,7 +76,8 @@
 class Visitor:
     """One viewer connection."""
 
-    def __init__(self, rules: FrontRules, peer: str) -> None:
+    def __init__(self, rules: FrontRules, peer: str, number: int, now: int) -> None:
+        self.number, self.heard = number, now
         self.wire = Connection(rules.viewers)
         self.outbox = Outbox(rules.bounds.queue, rules.bounds.stall)
         self.peer = peer
@@ -156,9 +157,8 @@
             for leg in self.order:
                 bye = encode_compound([Bye((leg.splice.ssrc,))], leg.splice.ssrc)
                 self.visitor.outbox.put(now, frame_header(leg.channel + 1, len(bye)) + bye)
+            # the connection stays: a TEARDOWN may be on its way and is owed its answer
             self.visits.forget(self)
-            if not self.visitor.sessions:
-                self.visits.hang_up(self.visitor)
         self.visits.wrote(self.visitor)
 
     def moved(self, now: int) -> None:
@@ -185,29 +185,45 @@
                  orders: list[Order], name: str) -> None:
         self.rules, self.catalogue, self.plays = rules, catalogue, plays
         self.random, self.orders, self.server = rng, orders, ("Server", name)
-        self.visitors: dict[Visitor, None] = {}
+        self.visitors: dict[int, Visitor] = {}
+        self._next = 0
         self.sessions: dict[str, Session] = {}
         self.draining = False
 
     # ---- the connection
 
-    def opened(self, peer: str) -> Visitor | None:
+    def opened(self, now: int, peer: str) -> Visitor | None:
         """A viewer connected; None where there are too many."""
         if len(self.visitors) >= self.rules.bounds.connections or self.draining:
             return None
-        visitor = Visitor(self.rules, peer)
-        self.visitors[visitor] = None
+        self._next += 1
+        visitor = Visitor(self.rules, peer, self._next, now)
+        self.visitors[self._next] = visitor
+        self.plays.timers.set(("quiet", visitor.number), now + self.rules.bounds.idle)
         return visitor
 
+    def quiet(self, now: int, number: int) -> None:
+        """The timer of a connection came up: one that holds no session and says nothing is closed."""
+        visitor = self.visitors.get(number)
+        if visitor is None:
+            return
+        until = visitor.heard + self.rules.bounds.idle
+        if now >= until and not visitor.sessions and not visitor.slots:
+            self.hang_up(visitor)
+        else:
+            self.plays.timers.set(("quiet", number), max(until, now + SECOND))
+
     def closed(self, now: int, visitor: Visitor) -> None:
         """The viewer's connection is gone: so are its sessions, which cannot go on without it."""
         visitor.gone = True
-        self.visitors.pop(visitor, None)
+        self.visitors.pop(visitor.number, None)
+        self.plays.timers.drop(("quiet", visitor.number))
         for session in list(visitor.sessions.values()):
             self._end(now, session)
 
     def received(self, now: int, visitor: Visitor, data: bytes) -> None:
         """Bytes of a viewer."""
+        visitor.heard = now
         for event in visitor.wire.receive(data):
             if visitor.closing:
                 return
@@ -460,8 +476,6 @@
             return
         self.orders.append(Line("session idle", (("peer", session.visitor.peer),)))
         self._end(now, session)
-        if not session.visitor.sessions:
-            self.hang_up(session.visitor)
 
     def stalled(self, now: int, visitor: Visitor) -> None:
         """The viewer took nothing for the time that a stall may last."""
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+import traceback
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 import trio
@@ -101,7 +102,7 @@
                 if order.attempt in self._links:
                     self._links[order.attempt].wake.set()
             elif isinstance(order, Start):
-                nursery.start_soon(self._upstream, order.attempt)
+                nursery.start_soon(self._guarded, "attempt", self._upstream, order.attempt)
             elif isinstance(order, Stop):
                 if order.attempt in self._links:
                     self._links[order.attempt].stop()
@@ -111,7 +112,7 @@
                     caller.hanging_up = True
                     caller.wake.set()
             elif isinstance(order, Ask):
-                nursery.start_soon(self._probe, order.server, order.address)
+                nursery.start_soon(self._guarded, "probe", self._probe, order.server, order.address)
             elif isinstance(order, Follow):
                 self._follow(nursery, order.on)
             else:
@@ -122,6 +123,17 @@
             self._wake_at = wake
             self._timer.set()
 
+    async def _guarded(self, what: str, task: Callable[..., Awaitable[None]], *words: object) -> None:
+        """Run one connection's task: a defect in it must show, and must not end every other session here."""
+        try:
+            await task(*words)
+        except Exception as error:
+            while isinstance(error, ExceptionGroup):
+                error = error.exceptions[0]
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            self.log("defect", {"front": self.station.name, "task": what, "error": f"{type(error).__name__}: {error}",
+                                "place": f"{place.name}:{place.lineno}"})
+
     async def _ticks(self) -> None:
         while True:
             wake = self._wake_at
@@ -133,7 +145,7 @@
                 self._wake_at = None
                 self._carry_out()
             elif wake is not None and self._wake_at == wake:
-                await trio.sleep(0)
+                await trio.lowlevel.checkpoint()
 
     def _follow(self, nursery: trio.Nursery, on: bool) -> None:
         if self._following is not None:
@@ -182,10 +194,10 @@
                 if self.core.visits.draining:
                     return
                 raise
-            self._nursery.start_soon(self._viewer, stream)
+            self._nursery.start_soon(self._guarded, "viewer", self._viewer, stream)
 
     async def _viewer(self, stream: Stream) -> None:
-        visitor = self.core.visits.opened(stream.peer)
+        visitor = self.core.visits.opened(now(), stream.peer)
         if visitor is None:
             stream.close()
             return
--- a/copperyard/gateway/net.py
+++ b/copperyard/gateway/net.py
@@ -8,7 +8,7 @@
 
 import trio
 
-CLOSED = (BrokenPipeError, ConnectionError, trio.BrokenResourceError, trio.ClosedResourceError)
+CLOSED = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class Stream(Protocol):
--- /dev/null
+++ b/copperyard/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs of the program."""
