--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -286,7 +286,7 @@
         await trio.sleep(3)
         plays = resident() - before
         tell("memory", idle_connection_kb=round(idles / 1000 / 1024, 1),
-             playing_session_kb=round(plays / 1000 / 1024, 1), 
+             playing_session_kb=round(plays / 1000 / 1024, 1),
              note="the other ends of each connection are in the same process and counted too")
         for one in idle:
             one.close()
