--- a/copperyard/control/plays.py
+++ b/copperyard/control/plays.py
@@ -389,6 +389,8 @@
         over = play.opened or play.answered or play.customer is None
         play.last = code
         self.counts.outcomes[code.name] = self.counts.outcomes.get(code.name, 0) + 1
+        if code is not Code.OK:
+            self._line("attempt ended", play, ("attempt", number), ("server", server), ("outcome", code.name))
         if over:
             self._drop(play)
         self._feed(now, Outcome(play.ref, number, server, code, took, over, report))
@@ -455,6 +457,8 @@
         if play.answered:
             return
         play.answered = True
+        if kind != "played":
+            self._line(kind, play, ("attempts", play.attempts))
         self.timers.drop(("overdue", play.ref))
         setattr(self.counts, kind, getattr(self.counts, kind) + 1)
         customer = play.customer
@@ -463,6 +467,11 @@
         if play.attempt is None:
             self._drop(play)
 
+    def _line(self, event: str, play: Play, *fields: tuple[str, str | int]) -> None:
+        """A line of one session; all of a session's lines share its ref. What went well makes none."""
+        cls = self.rules.settings.classes[play.wish.cls].name
+        self.orders.append(Line(event, (("ref", play.ref), ("class", cls), ("title", play.wish.title.path), *fields)))
+
     def _drop(self, play: Play) -> None:
         """All is over: forget the wish, and say what became of its code."""
         if self.plays.pop(play.ref, None) is not None and not play.opened:
--- a/tests/control/test_plays.py
+++ b/tests/control/test_plays.py
@@ -15,6 +15,7 @@
     Flush,
     Guest,
     Host,
+    Line,
     Stop,
     front,
     listing,
@@ -68,7 +69,11 @@
     set_up(core, attempt)
     expire(core, attempt)
     core.wake(4 * SECOND)
-    assert guest.answer(play).status == 504 and not starts(core.take())
+    orders = core.take()
+    assert guest.answer(play).status == 504 and not starts(orders)
+    lines = [o for o in orders if isinstance(o, Line) and o.event != "module"]
+    assert [line.event for line in lines] == ["attempt ended", "failed"]
+    assert {dict(line.fields)["ref"] for line in lines} == {1} and "X1" not in str(lines)
     # the family comes again with the same code: it is not redeemed a second time
     _, again, second = begun(core, "?code=X1", 5 * SECOND)
     host = play_through(core, second, 5 * SECOND)
