--- a/copperyard/cli/main.py
+++ b/copperyard/cli/main.py
@@ -8,6 +8,7 @@
 import secrets
 import signal
 from collections.abc import Awaitable, Callable
+from importlib.resources import files
 from pathlib import Path
 from typing import Annotated
 
@@ -20,9 +21,10 @@
 from ..gateway.listing import list_place
 from ..gateway.net import TcpNetwork
 from ..lab import virtual
-from ..lab.day import DAYS, MS, Result, run_day
 from ..lab.fleet import Fleet
 from ..lab.memnet import MemoryNetwork
+from ..lab.rehearsal import Rehearsal, load_rehearsal
+from ..lab.run import MS, Result, run_rehearsal
 from ..telemetry.logs import Logs
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A session front for streamed video.")
@@ -149,6 +151,19 @@
     return site
 
 
+DAYS = ("bad", "calm")
+
+
+def _rehearsal(path: Path, site: Site) -> Rehearsal:
+    try:
+        return load_rehearsal(str(path), site)
+    except BadSettings as error:
+        typer.echo(str(error), err=True)
+    except OSError as error:
+        typer.echo(f"{path}: {error.strerror}", err=True)
+    raise typer.Exit(2)
+
+
 @lab.command("day")
 def day(name: Annotated[str, typer.Argument(help=f"One of {', '.join(DAYS)}.")],
         settings: Annotated[Path, typer.Option(help="The site's settings.")] = Path("examples/caruso.xml"),
@@ -161,19 +176,19 @@
     if name not in DAYS:
         typer.echo(f"no day is named '{name}': there are {', '.join(DAYS)}", err=True)
         raise typer.Exit(2)
+    rehearsal = _rehearsal(Path(str(files("copperyard.lab").joinpath("days", f"{name}.xml"))), site)
     logs = Logs(log) if log != "none" else lambda event, fields: None
 
     async def sockets() -> Result:
-        return await run_day(site, DAYS[name], TcpNetwork(), seed, 100 * MS, 300 * MS, logs)
+        return await run_rehearsal(site, rehearsal, TcpNetwork(), seed, 100 * MS, 300 * MS, logs)
 
     async def memory() -> Result:
-        return await run_day(site, DAYS[name], MemoryNetwork(), seed, 5 * MS, 10 * MS, logs)
+        return await run_rehearsal(site, rehearsal, MemoryNetwork(), seed, 5 * MS, 10 * MS, logs)
 
     if not in_memory:
-        typer.echo(f"{name}: {DAYS[name].seconds:g} s of arrivals, then their ends", err=True)
+        typer.echo(f"{name}: {rehearsal.seconds:g} s of arrivals, then their ends", err=True)
     result = virtual.run(memory, seed) if in_memory else trio.run(sockets)
-    for one in result.breaks[:50]:
-        typer.echo(f"rule {one.rule} broken at {one.time / 1e9:.3f} s by {one.front}: {one.text}", err=True)
+    _tell(result)
     if report is not None:
         _write(report, result)
     typer.echo(json.dumps(result.summary))
@@ -181,6 +196,11 @@
         raise typer.Exit(1)
 
 
+def _tell(result: Result) -> None:
+    for one in result.breaks[:50]:
+        typer.echo(f"rule {one.rule} broken at {one.time / 1e9:.3f} s by {one.front}: {one.text}", err=True)
+
+
 def _write(folder: Path, result: Result) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "summary.json").write_text(json.dumps(result.summary, indent=1) + "\n")
--- a/copperyard/control/visits.py
+++ b/copperyard/control/visits.py
@@ -100,7 +100,8 @@
 
     def played(self, now: int, infos: tuple[tuple[int, int] | None, ...]) -> None:
         self.state = State.PLAYING
-        self._say(now, Response(200, self._play_headers(infos)))
+        name: Headers = (("Request-Id", f"{self.visits.server[1]}/{self.ref}"),)
+        self._say(now, Response(200, self._play_headers(infos) + name))
 
     def refused(self, now: int, retry_after: int) -> None:
         headers: Headers = (("Retry-After", str(-(-retry_after // SECOND))),) if retry_after > 0 else ()
--- a/copperyard/lab/listservice.py
+++ b/copperyard/lab/listservice.py
@@ -38,7 +38,7 @@
         self._hosts[host.name] = {
             "id": host.name, "address": host.address, "cell": host.cell, "kind": host.kind, "weight": host.weight,
             "state": state, "boot": str(host.boot)}
-        self._starts[host.name] = host.started
+        self._starts[host.name] = host.model.started
         self._changes.append((self.generation, host.name))
         self._news.set()
         self._news = trio.Event()
--- /dev/null
+++ b/copperyard/lab/run.py
@@ -0,0 +1,257 @@
+"""Runs a rehearsal: a whole site, its viewers, what strikes it; then the auditor, and what it all was worth."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import trio
+
+from ..config import Site
+from ..control.rules import Entry
+from ..gateway.net import Network
+from ..interface import ClassSettings
+from ..protocol.rtsp import Request
+from .audit import Auditor, Break, Tap, Try, redeemed
+from .emulator import Stream
+from .fleet import Fleet, Make
+from .rehearsal import Rehearsal
+from .strikes import run_strike
+from .viewers import HABITS, Viewer, Visit
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+WINDOW = 10  # s, for the worst stretch
+MIX = (0.6, 0.2, 0.2)  # whole run, worst 10 s, worst class: the first users' weights
+LAG_VOID = 0.25  # s by which the event loop may be late before a run on sockets counts for nothing
+
+
+@dataclass(frozen=True, slots=True)
+class HostSecond:
+    """What one host was asked and gave in one second."""
+
+    second: int
+    host: str
+    asked: float
+    link: float
+    uplink: float
+    share: float
+    streams: int
+
+
+@dataclass(slots=True)
+class Result:
+    """What a rehearsal came to."""
+
+    rehearsal: Rehearsal
+    seed: int
+    visits: list[Visit]
+    breaks: list[Break]
+    tries: list[Try]
+    seconds: list[HostSecond]
+    summary: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Lag:
+    """How late the event loop ran, in s."""
+
+    most: float = 0.0
+
+    async def watch(self) -> None:
+        while True:
+            due = trio.current_time() + 0.05
+            await trio.sleep_until(due)
+            self.most = max(self.most, trio.current_time() - due)
+
+
+async def run_rehearsal(site: Site, rehearsal: Rehearsal, network: Network, seed: int, slack: int, late: int,
+                        log: Callable[[str, Mapping[str, str | int]], None] = lambda event, fields: None,
+                        make: Make | None = None, fleet_made: Callable[[Fleet], None] | None = None) -> Result:
+    """Play it to its end and audit it. `slack` and `late` (ns) are the auditor's."""
+    fleet = Fleet(site, network, seed, log, make)
+    if fleet_made is not None:
+        fleet_made(fleet)
+    rng = random.Random(seed)
+    visits: list[Visit] = []
+    seconds: list[HostSecond] = []
+    lag = Lag()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(fleet.run)
+        with trio.move_on_after(10):
+            await fleet.ready()
+        nursery.start_soon(lag.watch)
+        begin = trio.current_time()
+        nursery.start_soon(_watch_hosts, fleet, begin, seconds)
+        async with trio.open_nursery() as crowd:
+            for n, strike in enumerate(rehearsal.strikes):
+                crowd.start_soon(run_strike, fleet, strike, random.Random(seed * 31 + n), begin)
+            await _arrivals(fleet, rehearsal, rng, visits, crowd, begin)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    await trio.lowlevel.checkpoint()
+    auditor = Auditor(site.rules, fleet.tap, slack, late)
+    result = Result(rehearsal, seed, visits, auditor.check(), auditor.tries, seconds)
+    _reckon(site, fleet, visits)
+    result.summary = _summary(site, result, fleet, lag.most)
+    return result
+
+
+async def _watch_hosts(fleet: Fleet, begin: float, rows: list[HostSecond]) -> None:
+    second = 0
+    while True:
+        second += 1
+        await trio.sleep_until(begin + second)
+        for host in fleet.hosts:
+            model = host.model
+            rows.append(HostSecond(second, host.name, model.asked(), model.load(), model.rack.load(), model.share(),
+                                   len(model.streams)))
+
+
+async def _arrivals(fleet: Fleet, rehearsal: Rehearsal, rng: random.Random, visits: list[Visit],
+                    nursery: trio.Nursery, begin: float) -> None:
+    """Open-loop: each viewer comes at its time, however the ones before fare."""
+    paths = [t.path for t in fleet.site.titles]
+    load = rehearsal.load
+    weights = [1 / (n + 1) ** load.zipf for n in range(len(paths))]
+    coming: list[tuple[float, str, bool]] = []
+    at = 0.0
+    while (at := at + rng.expovariate(load.rate)) < rehearsal.seconds:
+        coming.append((at, rng.choices(paths, weights)[0], rng.random() < load.paid))
+    for crowd in rehearsal.crowds:
+        coming += [(crowd.at + rng.uniform(0, crowd.within), crowd.title, rng.random() < crowd.paid)
+                   for _ in range(crowd.viewers)]
+    longest = max(c.deadline for c in fleet.site.rules.settings.classes)
+    lengths = {t.path: t.length / SECOND if t.length is not None else 1e9 for t in fleet.site.titles}
+
+    def pick() -> tuple[str, str]:
+        one = rng.choice([g for g in fleet.gateways if g.address])
+        return one.name, one.address
+
+    for at, path, paid in sorted(coming):
+        await trio.sleep_until(begin + at)
+        code = f"c{fleet.seed}x{len(visits)}" if paid else ""
+        bad = rng.random() < load.misbehave
+        habit = rng.choice(HABITS[1:]) if bad else HABITS[0]
+        if paid and bad and rng.random() < 0.1:
+            code = "bad" + code
+        watch = rng.uniform(*load.watch)
+        visit = Visit(path, code, habit, round((begin + at) * 1e9), min(watch, lengths[path]))
+        visits.append(visit)
+        viewer = Viewer(fleet.network, fleet.tap, pick, visit, longest, random.Random(rng.random()))
+        nursery.start_soon(viewer.run, watch)
+
+
+def class_of(site: Site, visit: Visit) -> ClassSettings:
+    """The class that a visit belongs to."""
+    fits: list[Entry] = [e for e in site.rules.entries if visit.title.startswith(e.prefix)
+                         and e.paid == bool(visit.code)]
+    return site.rules.settings.classes[fits[0].cls if fits else 0]
+
+
+def counts(visit: Visit) -> bool:
+    """Whether a visit's worth is asked for: one that leaves by itself before it plays asks for nothing."""
+    return visit.habit not in ("half-message", "hang-up") and not visit.code.startswith("bad")
+
+
+def _reckon(site: Site, fleet: Fleet, visits: list[Visit]) -> None:
+    """Put on each visit what it was worth: the class's worth for the share of the wanted seconds that played, by
+    rung and by what was missing, if it played in time."""
+    by_request: dict[str, list[Stream]] = {}
+    for host in fleet.hosts + fleet.gone:
+        for request, streams in host.done.items():
+            by_request.setdefault(request, []).extend(streams)
+    for visit in visits:
+        cls = class_of(site, visit)
+        streams = [s for request in visit.requests for s in by_request.get(request, ())]
+        visit.rungs = [rung for s in streams for rung in s.rungs]
+        if not counts(visit):
+            continue
+        visit.asked = cls.worth
+        visit.in_time = visit.played_after is not None and visit.played_after <= cls.aim
+        played = sum(s.worth_s for s in streams) / max(0.2, visit.watch)
+        visit.worth = cls.worth * max(0.0, min(1.0, played)) if visit.in_time else 0.0
+
+
+def share(visits: list[Visit]) -> float:
+    """Worth answered in time over worth asked for."""
+    asked = sum(v.asked for v in visits)
+    return sum(v.worth for v in visits) / asked if asked else 0.0
+
+
+def service(site: Site, visits: list[Visit]) -> dict[str, float]:
+    """The brief's figure and its parts: whole run, worst 10 s by arrival, worst class."""
+    first = min((v.began for v in visits), default=0)
+    windows: dict[int, list[Visit]] = {}
+    classes: dict[str, list[Visit]] = {}
+    for visit in visits:
+        windows.setdefault((visit.began - first) // (WINDOW * SECOND), []).append(visit)
+        classes.setdefault(class_of(site, visit).name, []).append(visit)
+    whole = share(visits)
+    # the last window may hold a handful only; it is left out where there is another
+    full = [w for n, w in sorted(windows.items()) if n < max(windows) or len(windows) == 1]
+    window = min((share(w) for w in full), default=0.0)
+    worst = min((share(c) for c in classes.values() if any(v.asked for v in c)), default=0.0)
+    mixed = MIX[0] * whole + MIX[1] * window + MIX[2] * worst
+    return {"service": round(mixed, 4), "whole": round(whole, 4), "worst_10s": round(window, 4),
+            "worst_class": round(worst, 4)}
+
+
+def lost_worth(site: Site, visits: list[Visit]) -> dict[str, float]:
+    """Where the worth that was asked for went, as shares of it."""
+    asked = sum(v.asked for v in visits) or 1.0
+    causes = {"late": 0.0, "refused": 0.0, "failed": 0.0, "broken or left": 0.0, "low rung or short": 0.0}
+    for v in visits:
+        lost = v.asked - v.worth
+        if v.in_time:
+            broken = v.ended.startswith("broken")
+            causes["broken or left" if broken else "low rung or short"] += lost
+        elif v.played_after is not None:
+            causes["late"] += lost
+        elif v.statuses and v.statuses[-1] == 453:
+            causes["refused"] += lost
+        else:
+            causes["failed"] += lost
+    return {cause: round(lost / asked, 4) for cause, lost in causes.items()}
+
+
+def trace_hash(tap: Tap) -> str:
+    """A hash of all that passed: every message, its time and place."""
+    digest = hashlib.sha256()
+    for kind, sides in (("viewer", tap.viewers), ("host", tap.hosts)):
+        for side in sides:
+            digest.update(f"{kind} {side.place} {side.boot} {side.frames} {side.end}\n".encode())
+            for time, ours, message in side.messages:
+                what = message.method if isinstance(message, Request) else message.status
+                digest.update(f"{time} {ours} {what} {message.header('CSeq')}\n".encode())
+    return digest.hexdigest()[:16]
+
+
+def _summary(site: Site, result: Result, fleet: Fleet, lag: float) -> dict[str, object]:
+    visits = result.visits
+    statuses = Counter(s for v in visits for s in v.statuses)
+    codes = Counter(code for side in fleet.tap.hosts for code in redeemed(side))
+    plays = sorted(v.played_after for v in visits if v.played_after is not None)
+    rungs = Counter(r for v in visits for r in v.rungs)
+    return {
+        "rehearsal": result.rehearsal.name, "seed": result.seed, "requests": len(visits),
+        "answers": {"played": statuses[200], "refused": statuses[453],
+                    "failed": sum(n for s, n in statuses.items() if s >= 500),
+                    "denied": sum(n for s, n in statuses.items() if 400 <= s < 500 and s != 453)},
+        "ends": dict(sorted(Counter(v.ended.split(":")[0] for v in visits).items())),
+        "in_time": round(sum(v.asked for v in visits if v.in_time) / max(1e-9, sum(v.asked for v in visits)), 4),
+        **service(site, visits), "lost": lost_worth(site, visits),
+        "play_ms": {name: round(plays[min(len(plays) - 1, int(q * len(plays)))] / MS, 1) if plays else None
+                    for name, q in (("p50", 0.5), ("p90", 0.9), ("p99", 0.99))},
+        "rungs": {str(r): n for r, n in sorted(rungs.items())},
+        "redemptions": len(fleet.office.receipts),
+        "redeemed_twice": sum(1 for n in codes.values() if n > 1),
+        "stream_faults": sum(len(v.faults) for v in visits),
+        "attempts": len(result.tries), "fallen": sum(h.model.fallen for h in fleet.hosts + fleet.gone),
+        "lag_ms": round(lag * 1000, 1), "void": lag > LAG_VOID,
+        "trace": trace_hash(fleet.tap),
+        "rules": {str(rule): sum(1 for b in result.breaks if b.rule == rule) for rule in range(1, 7)},
+    }
--- a/copperyard/lab/viewers.py
+++ b/copperyard/lab/viewers.py
@@ -28,7 +28,13 @@
     title: str
     code: str
     habit: str
-    began: int
+    began: int  # when it meant to come: a viewer that was sent late waits all the same
+    watch: float = 0.0
+    requests: list[str] = field(default_factory=list)
+    rungs: list[int] = field(default_factory=list)
+    asked: float = 0.0
+    worth: float = 0.0
+    in_time: bool = False
     statuses: list[int] = field(default_factory=list)
     played_after: int | None = None
     frames: int = 0
@@ -192,6 +198,7 @@
         if answer.status != 200:
             visit.ended = "failed" if answer.status >= 500 else "denied"
             return None if visit.code else 1.0
+        visit.requests.append(answer.header("Request-Id") or "")
         for info in parse_rtp_info(answer.header("RTP-Info") or ""):
             n = next((k for k, c in enumerate(controls) if c.split("?")[0] == info.url), 0)
             checkers[2 * n].seq, checkers[2 * n].ts = info.seq, info.rtptime
