--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -100,7 +100,7 @@
     from tests.lab.helpers import MS
     one = site(further="", grace="50ms")
     slow = weakened(connect_timeout=10**9)
-    script = day(strike("drain", 4.0, 8.0, 0, 1), rate=30.0, seconds=6.0)
+    script = day(strike("drain", 3.0, 8.0, 0, 1, 2), rate=40.0, seconds=5.0, watch=(0.5, 1.0))
 
     def run():
         network = MemoryNetwork(latency=0.3)
