--- /dev/null
+++ b/copperyard/cli/lab.py
@@ -0,0 +1,191 @@
+"""`copperyard lab`: rehearse with stand-in hosts. Plots and records are loaded only by the commands that make them."""
+
+from __future__ import annotations
+
+import json
+import re
+from importlib.resources import files
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+
+from ..config import BadSettings, Site, parse
+from ..gateway.net import TcpNetwork
+from ..lab import virtual
+from ..lab.fleet import Fleet
+from ..lab.memnet import MemoryNetwork
+from ..lab.rehearsal import Rehearsal, load_rehearsal
+from ..lab.run import MS, Result, run_rehearsal
+from ..telemetry.logs import Logs
+from .common import Form, Settings, seconds, site_of, until_told
+
+lab = typer.Typer(no_args_is_help=True, help="Rehearse with stand-in hosts, all of it simulated.")
+
+
+@lab.command("up")
+def up(path: Settings,
+       last: Annotated[str | None, typer.Option("--for", help="End by itself after this time.")] = None,
+       seed: int = 1, log: Form = "json") -> None:
+    """Start the list service, stand-in hosts and gateways of a site on loopback."""
+    site, most, logs = _lab_site(path), seconds(last), Logs(log)
+
+    async def main() -> None:
+        fleet = Fleet(site, TcpNetwork(), seed, logs)
+
+        async def end() -> None:
+            await trio.lowlevel.checkpoint()
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(fleet.run)
+            with trio.move_on_after(10):
+                await fleet.ready()
+            await nursery.start(until_told, nursery, most, end)
+            typer.echo(json.dumps({
+                "event": "ready", "gateways": [f"rtsp://{g.address}" for g in fleet.gateways],
+                "titles": [t.path for t in site.titles], "list": f"http://{fleet.lists.address}"}))
+
+    trio.run(main)
+
+
+def _lab_site(path: Path) -> Site:
+    site = site_of(path)
+    if site.lab is None or not site.lab.hosts:
+        typer.echo(f"{path}: no <lab> with hosts: there is nothing to rehearse with", err=True)
+        raise typer.Exit(2)
+    return site
+
+
+DAYS = ("bad", "calm")
+
+
+def _rehearsal(path: Path, site: Site) -> Rehearsal:
+    try:
+        return load_rehearsal(str(path), site)
+    except BadSettings as error:
+        typer.echo(str(error), err=True)
+    except OSError as error:
+        typer.echo(f"{path}: {error.strerror}", err=True)
+    raise typer.Exit(2)
+
+
+@lab.command("day")
+def day(name: Annotated[str, typer.Argument(help=f"One of {', '.join(DAYS)}.")],
+        settings: Annotated[Path, typer.Option(help="The site's settings.")] = Path("examples/caruso.xml"),
+        seed: int = 1,
+        in_memory: Annotated[bool, typer.Option("--virtual", help="In memory, on a virtual clock.")] = False,
+        report: Annotated[Path | None, typer.Option(help="Folder for the summary and the viewers' rows.")] = None,
+        log: Annotated[str, typer.Option(help="json, console or none.")] = "none") -> None:
+    """Play a scripted day and audit it; the last line on stdout is the summary. Exit 1 where a rule broke."""
+    site = _lab_site(settings)
+    if name not in DAYS:
+        typer.echo(f"no day is named '{name}': there are {', '.join(DAYS)}", err=True)
+        raise typer.Exit(2)
+    rehearsal = _rehearsal(Path(str(files("copperyard.lab").joinpath("days", f"{name}.xml"))), site)
+    logs = Logs(log) if log != "none" else lambda event, fields: None
+
+    async def sockets() -> Result:
+        return await run_rehearsal(site, rehearsal, TcpNetwork(), seed, 100 * MS, 300 * MS, logs)
+
+    async def memory() -> Result:
+        return await run_rehearsal(site, rehearsal, MemoryNetwork(), seed, 5 * MS, 10 * MS, logs)
+
+    if not in_memory:
+        typer.echo(f"{name}: {rehearsal.seconds:g} s of arrivals, then their ends", err=True)
+    result = virtual.run(memory, seed) if in_memory else trio.run(sockets)
+    _tell(result)
+    if report is not None:
+        _write(report, result)
+    typer.echo(json.dumps(result.summary))
+    if result.breaks:
+        raise typer.Exit(1)
+
+
+def _tell(result: Result) -> None:
+    for one in result.breaks[:50]:
+        typer.echo(f"rule {one.rule} broken at {one.time / 1e9:.3f} s by {one.front}: {one.text}", err=True)
+
+
+def _named_site(path: Path) -> Path:
+    """The settings that a rehearsal names, beside it."""
+    try:
+        found = re.search(r'<rehearsal[^>]*\ssite="([^"]+)"', path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(2) from None
+    return path.parent / found[1] if found else Path("examples/caruso.xml")
+
+
+@lab.command("run")
+def run(path: Annotated[Path, typer.Argument(help="The rehearsal, XML.")],
+        settings: Annotated[Path | None, typer.Option(help="The site's settings; the rehearsal names some.")] = None,
+        seed: int = 1, repeat: Annotated[int, typer.Option(help="Seeds in a row.", min=1, max=10_000)] = 1,
+        policy: Annotated[list[str] | None, typer.Option(help="module, or a baseline; may be repeated.")] = None,
+        change: Annotated[list[str] | None, typer.Option("--set", help="ELEMENT/ATTRIBUTE=VALUE in the settings.")
+                          ] = None,
+        jobs: Annotated[int, typer.Option(help="Worker processes.", min=1, max=256)] = 1,
+        report: Annotated[Path | None, typer.Option(help="Folder for the page and the records.")] = None) -> None:
+    """Run a rehearsal in virtual time over seeds and policies; a JSON summary a line. Exit 1 where the module broke
+    a rule."""
+    from rich.console import Console
+    from rich.progress import Progress
+
+    from ..lab import baselines, experiment
+
+    policies = policy or ["module"]
+    for one in policies:
+        if one not in ("module", *baselines.POLICIES):
+            typer.echo(f"no policy is named '{one}': there are module, {', '.join(baselines.POLICIES)}", err=True)
+            raise typer.Exit(2)
+    settings = settings if settings is not None else _named_site(path)
+    site = _lab_site(settings)
+    rehearsal = _rehearsal(path, site)
+    try:
+        text = experiment.changed(settings.read_bytes(), change or (), str(settings))
+        parse(text, str(settings))
+    except BadSettings as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    folder = str(report) if report is not None else None
+    todo = [experiment.Job(text, path.read_bytes(), p, n, folder) for p in policies for n in range(seed, seed + repeat)]
+    with Progress(console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task(rehearsal.name, total=len(todo))
+        found = experiment.run_all(todo, jobs, lambda n, summary: bar.advance(task))
+    for summary in found:
+        typer.echo(json.dumps(summary))
+    if report is not None:
+        from ..lab import report as lab_report
+
+        experiment.save(report, found)
+        typer.echo(f"{lab_report.write(report, rehearsal.name, rehearsal.teaches, found)}", err=True)
+    if any(s["policy"] == "module" and s["breaks"] for s in found):
+        raise typer.Exit(1)
+
+
+@lab.command("compare")
+def compare(before: Annotated[Path, typer.Argument(help="A report folder.")],
+            after: Annotated[Path, typer.Argument(help="Another one, of the same seeds.")],
+            policy: str = "module") -> None:
+    """Compare two runs seed by seed: difference, standard error, and whether it is more than noise."""
+    from ..lab import experiment
+
+    try:
+        one, two = ([s for s in experiment.read(f) if s["policy"] == policy] for f in (before, after))
+        for figure, row in experiment.compare(one, two).items():
+            typer.echo(f"{figure:12} {row['difference']:+.4f} +- {row['error']:.4f}  {row['verdict']}"
+                       f"  ({row['pairs']} pairs)")
+    except (OSError, ValueError) as error:
+        typer.echo(f"cannot compare: {error}", err=True)
+        raise typer.Exit(2) from None
+
+
+def _write(folder: Path, result: Result) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "summary.json").write_text(json.dumps(result.summary, indent=1) + "\n")
+    with (folder / "viewers.jsonl").open("w") as sink:
+        for v in result.visits:
+            sink.write(json.dumps({
+                "title": v.title, "paid": bool(v.code), "habit": v.habit, "began_s": v.began / 1e9,
+                "statuses": v.statuses, "played_after_s": None if v.played_after is None else v.played_after / 1e9,
+                "frames": v.frames, "ended": v.ended, "faults": v.faults}) + "\n")
