--- a/copperyard/cli/lab.py
+++ b/copperyard/cli/lab.py
@@ -163,6 +163,40 @@
         raise typer.Exit(1)
 
 
+@lab.command("sweep")
+def sweep(path: Annotated[Path, typer.Argument(help="The rehearsal, XML.")],
+          over: Annotated[str, typer.Option(help="ELEMENT/ATTRIBUTE=V1,V2,... of the settings.")],
+          settings: Annotated[Path | None, typer.Option(help="The site's settings; the rehearsal names some.")] = None,
+          seed: int = 1, repeat: Annotated[int, typer.Option(min=1, max=10_000)] = 4,
+          jobs: Annotated[int, typer.Option(min=1, max=256)] = 1) -> None:
+    """Run a rehearsal for each value of a setting, over the same seeds; a line a value, held against the first."""
+    from ..lab import experiment
+
+    settings = settings if settings is not None else _named_site(path)
+    site = _lab_site(settings)
+    _rehearsal(path, site)
+    place, _, values = over.partition("=")
+    texts = {}
+    for value in values.split(","):
+        try:
+            texts[value] = experiment.changed(settings.read_bytes(), [f"{place}={value}"], str(settings))
+            parse(texts[value], f"{settings} with {place}={value}")
+        except BadSettings as error:
+            typer.echo(str(error), err=True)
+            raise typer.Exit(2) from None
+    todo = [experiment.Job(text, path.read_bytes(), "module", n, None)
+            for text in texts.values() for n in range(seed, seed + repeat)]
+    found = experiment.run_all(todo, jobs, lambda n, summary: None)
+    rows = {value: found[k * repeat:(k + 1) * repeat] for k, value in enumerate(texts)}
+    first = next(iter(rows.values()))
+    for value, summaries in rows.items():
+        mean, wide = experiment.spread(summaries, "service")
+        verdict = experiment.compare(first, summaries)["service"] if summaries is not first else {"verdict": "-"}
+        broken = sum(bool(s["breaks"]) for s in summaries)
+        typer.echo(f"{place}={value}: service {mean:.3f} +- {wide:.3f}, against the first: {verdict['verdict']}, "
+                   f"runs with a broken rule: {broken}")
+
+
 @lab.command("site")
 def site(hosts: Annotated[int, typer.Option(min=1, max=5000)] = 250,
          gateways: Annotated[int, typer.Option(min=1, max=1000)] = 40,
