--- a/copperyard/gateway/upstream.py
+++ b/copperyard/gateway/upstream.py
@@ -104,8 +104,8 @@
     probing = Probing(address, core.rules.hosts)
     stream: Stream | None = None
     code = Code.CONNECT_FAILED
-    with trio.move_on_after(core.rules.settings.connect_timeout / 1e9):
-        try:
+    try:
+        with trio.move_on_after(core.rules.settings.connect_timeout / 1e9):
             stream = await network.connect(address)
             code, out = Code.TIMEOUT, probing.out
             while out:
@@ -113,11 +113,11 @@
             while data := await stream.receive_some(READ):
                 found = probing.receive(data)
                 if found is not None:
-                    stream.close()
                     return found
             code = Code.RESET
-        except OSError:
-            code = code if code is Code.CONNECT_FAILED else Code.RESET
-    if stream is not None:
-        stream.close()
+    except OSError:
+        code = code if code is Code.CONNECT_FAILED else Code.RESET
+    finally:
+        if stream is not None:
+            stream.close()  # also when the gateway is cancelled in the middle of a probe
     return code, None
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -95,7 +95,7 @@
 def test_a_drain_heard_while_connecting_is_kept_by_the_last_look(monkeypatch):
     # connects take 300 ms, longer than the grace: what the module sent before it heard would leave after it
     from copperyard.lab import virtual
-    from copperyard.lab.memnet import MemoryNetwork
+    from copperyard.lab.memnet import Manners, MemoryNetwork
     from copperyard.lab.run import run_rehearsal
     from tests.lab.helpers import MS
     one = site(further="", grace="50ms")
@@ -103,7 +103,7 @@
     script = day(strike("drain", 3.0, 8.0, 0, 1, 2), rate=40.0, seconds=5.0, watch=(0.5, 1.0))
 
     def run():
-        network = MemoryNetwork(latency=0.3)
+        network = MemoryNetwork(Manners(connect=0.3))
         return virtual.run(lambda: run_rehearsal(one, script, network, 1, 5 * MS, 10 * MS, make=slow), 1)
     assert 3 not in broken(run())
     monkeypatch.setattr(HostBook, "may_start", lambda self, server: True)
--- a/tests/lab/test_tools.py
+++ b/tests/lab/test_tools.py
@@ -28,7 +28,8 @@
     try:
         ready = json.loads(up.stdout.readline())
         found = run(app, ["lab", "load", *ready["gateways"], "--title", ready["titles"][0],
-                          "--title", ready["titles"][1], "--rate", "8", "--for", "3s", "--watch", "1s", "--paid", "0.3"])
+                          "--title", ready["titles"][1], "--rate", "8", "--for", "3s", "--watch", "1s",
+                          "--paid", "0.3"])
         summary = json.loads(found.output.splitlines()[-1])
         assert summary["played"] == summary["requests"] > 8 and summary["stream_faults"] == 0
         assert 0 < summary["play_ms"]["p50"] <= summary["play_ms"]["p99"]
