--- a/copperyard/lab/memnet.py
+++ b/copperyard/lab/memnet.py
@@ -19,7 +19,8 @@
 class Manners:
     """How connections behave. `latency` s one way, from and to; `chop` is the chance that a read or write takes only
     a part, down to a byte; `window` bytes wait in one direction; `backlog` connections wait to be accepted; a
-    connect takes `connect` s more than a round trip; `hang` is the chance that a connect never ends, `reset` that a connection breaks at a drawn byte."""
+    connect takes `connect` s more than a round trip; `hang` is the chance that a connect never ends, `reset` that a
+    connection breaks at a drawn byte."""
 
     latency: tuple[float, float] = (0.0005, 0.0005)
     chop: float = 0.0
@@ -39,6 +40,7 @@
         self.size = 0
         self.last = 0.0  # when the newest byte arrives; none overtakes another
         self.ended = self.broken = False
+        self.fell = False  # the network broke it, neither end did
         self.readable, self.writable = Signal(), Signal()
 
     def room(self) -> int:
@@ -78,6 +80,11 @@
         self._in, self._out, self.peer = inward, outward, peer
         self._closed = False
 
+    @property
+    def fell(self) -> bool:
+        """Whether the network broke this connection."""
+        return self._in.fell or self._out.fell
+
     async def receive_some(self, most: int) -> bytes:
         await trio.lowlevel.checkpoint()
         pipe = self._in
@@ -107,6 +114,7 @@
             raise BrokenPipeError("the peer is gone")
         sent = self._out.push(data)
         if self._out.fell_apart():
+            self._in.fell = self._out.fell = True
             self._reset()
             raise ConnectionResetError("the connection was reset")
         return sent
--- a/copperyard/lab/run.py
+++ b/copperyard/lab/run.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
 import trio
@@ -52,6 +52,8 @@
     breaks: list[Break]
     tries: list[Try]
     seconds: list[HostSecond]
+    left: list[str]
+    tap: Tap
     summary: dict[str, object] = field(default_factory=dict)
 
 
@@ -70,7 +72,8 @@
 
 async def run_rehearsal(site: Site, rehearsal: Rehearsal, network: Network, seed: int, slack: int, late: int,
                         log: Callable[[str, Mapping[str, str | int]], None] = lambda event, fields: None,
-                        make: Make | None = None, fleet_made: Callable[[Fleet], None] | None = None) -> Result:
+                        make: Make | None = None, fleet_made: Callable[[Fleet], None] | None = None,
+                        at_end: Callable[[Fleet], Awaitable[list[str]]] | None = None) -> Result:
     """Play it to its end and audit it. `slack` and `late` (ns) are the auditor's."""
     fleet = Fleet(site, network, seed, log, make)
     if fleet_made is not None:
@@ -91,10 +94,11 @@
                 crowd.start_soon(run_strike, fleet, strike, random.Random(seed * 31 + n), begin)
             await _arrivals(fleet, rehearsal, rng, visits, crowd, begin)
         await trio.sleep(1.0)
+        left = await at_end(fleet) if at_end is not None else []
         nursery.cancel_scope.cancel()
     await trio.lowlevel.checkpoint()
     auditor = Auditor(site.rules, fleet.tap, slack, late)
-    result = Result(rehearsal, seed, visits, auditor.check(), auditor.tries, seconds)
+    result = Result(rehearsal, seed, visits, auditor.check(), auditor.tries, seconds, left, fleet.tap)
     _reckon(site, fleet, visits)
     result.summary = _summary(site, result, fleet, lag.most)
     return result
--- a/copperyard/lab/viewers.py
+++ b/copperyard/lab/viewers.py
@@ -155,7 +155,7 @@
             return None
         except (Broken, *CLOSED) as error:
             if not client.side.end:
-                client.side.ended(now())
+                client.side.ended(now(), bool(getattr(client.stream, "fell", False)))
             self.visit.ended = f"broken: {error}"
             return None if self.visit.code and self.visit.statuses[-1:] in ([502], [504]) else 1.0
         finally:
@@ -224,7 +224,7 @@
                 try:
                     await self._claim(second, url)
                 except (Broken, *CLOSED):
-                    second.side.ended(now())
+                    second.side.ended(now(), bool(getattr(second.stream, "fell", False)))
                 finally:
                     second.close()
         return []
