--- a/copperyard/cli/lab.py
+++ b/copperyard/cli/lab.py
@@ -197,6 +197,54 @@
                    f"runs with a broken rule: {broken}")
 
 
+@lab.command("seed")
+def seed_(number: Annotated[int, typer.Argument(help="The seed to replay.")]) -> None:
+    """Draw a world from a seed, run it on the virtual clock, and tell what broke with the last messages before it.
+    Exit 1 where something did."""
+    from ..lab import world
+
+    scenario = world.draw(number)
+    result = world.run_scenario(scenario)
+    for strike in scenario.rehearsal.strikes:
+        typer.echo(f"{strike.at:6.2f} to {strike.until:6.2f} s  {strike.kind}  {strike.whom}")
+    typer.echo(f"network: {scenario.manners}")
+    for one in result.breaks[:5]:
+        typer.echo(f"rule {one.rule} broken at {one.time / 1e9:.4f} s by {one.front}: {one.text}")
+        for line in world.explain(result.tap, one):
+            typer.echo(f"    {line}")
+    for text in result.left:
+        typer.echo(f"left behind: {text}")
+    typer.echo(json.dumps(result.summary))
+    if result.breaks or result.left:
+        raise typer.Exit(1)
+
+
+@lab.command("seeds")
+def seeds(span: Annotated[str, typer.Argument(help="A..B, B included.")],
+          jobs: Annotated[int, typer.Option(min=1, max=256)] = 1) -> None:
+    """Run many seeds; a line for each that broke something, and a count. Exit 1 where one did."""
+    from concurrent.futures import ProcessPoolExecutor
+    from multiprocessing import get_context
+
+    from ..lab.world import verdict
+
+    found = re.fullmatch(r"([0-9]{1,9})\.\.([0-9]{1,9})", span)
+    if not found or int(found[2]) < int(found[1]):
+        typer.echo(f"'{span}' is no A..B with A up to B", err=True)
+        raise typer.Exit(2)
+    numbers = range(int(found[1]), int(found[2]) + 1)
+    bad = requests = 0
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        for row in pool.map(verdict, numbers, chunksize=4):
+            requests += int(str(row["requests"]))
+            if row["breaks"] or row["left"] or row["faults"]:
+                bad += 1
+                typer.echo(json.dumps(row))
+    typer.echo(json.dumps({"seeds": len(numbers), "bad": bad, "requests": requests}))
+    if bad:
+        raise typer.Exit(1)
+
+
 @lab.command("site")
 def site(hosts: Annotated[int, typer.Option(min=1, max=5000)] = 250,
          gateways: Annotated[int, typer.Option(min=1, max=1000)] = 40,
--- a/copperyard/control/outbox.py
+++ b/copperyard/control/outbox.py
@@ -19,12 +19,9 @@
     def __init__(self, limit: int, stall: int) -> None:
         self.limit, self.stall = limit, stall
         self.size = 0
-        self.moved: int | None = None
         self._parts: deque[bytes] = deque()
 
-    def put(self, now: int, data: bytes) -> None:
-        if not self.size:
-            self.moved = now
+    def put(self, data: bytes) -> None:
         self._parts.append(data)
         self.size += len(data)
 
@@ -48,18 +45,10 @@
             self._parts.appendleft(b"".join(parts))
         return self._parts[0] if self._parts else b""
 
-    def took(self, now: int, size: int) -> None:
+    def took(self, size: int) -> None:
         """The peer took `size` of the bytes that peek gave."""
         if size:
             head = self._parts.popleft()
             if size < len(head):
                 self._parts.appendleft(head[size:])
             self.size -= size
-            self.moved = now
-
-    def stalled(self, now: int) -> bool:
-        """Whether bytes wait and none moved for `stall`."""
-        return self.size > 0 and self.moved is not None and now - self.moved >= self.stall
-
-    def stalls_at(self) -> int | None:
-        return self.moved + self.stall if self.size and self.moved is not None else None
--- a/copperyard/control/visits.py
+++ b/copperyard/control/visits.py
@@ -127,7 +127,7 @@
 
     def media(self, now: int, media: Media) -> None:
         if not self.visitor.gone:
-            self.visitor.outbox.put(now, media.data)
+            self.visitor.outbox.put(media.data)
             self.visits.wrote(self.visitor)
 
     def done(self, now: int, done: Done) -> None:
@@ -147,7 +147,7 @@
             # the host did not say goodbye: the viewer must not wait for media that never come
             for leg in self.order:
                 bye = encode_compound([Bye((leg.ssrc,))], leg.ssrc)
-                self.visitor.outbox.put(now, frame_header(leg.channel + 1, len(bye)) + bye)
+                self.visitor.outbox.put(frame_header(leg.channel + 1, len(bye)) + bye)
             # the connection stays: a TEARDOWN may be on its way and is owed its answer
             self.visits.forget(self)
         self.visits.wrote(self.visitor)
@@ -155,7 +155,7 @@
     def moved(self, now: int) -> None:
         url = self.base + quote_path(self.title.path)
         data = self.visitor.wire.ask("REDIRECT", url, (("Session", self.id), ("Location", url)))[1]
-        self.visitor.outbox.put(now, data)
+        self.visitor.outbox.put(data)
         self.visits.wrote(self.visitor)
 
     def blocked(self) -> bool:
@@ -251,7 +251,7 @@
         headers = (*response.headers, self.server)
         slot.data = visitor.wire.answer(slot.request, replace(response, headers=headers))
         while visitor.slots and visitor.slots[0].data is not None:
-            visitor.outbox.put(now, visitor.slots.popleft().data or b"")
+            visitor.outbox.put(visitor.slots.popleft().data or b"")
         self.wrote(visitor)
 
     # ---- requests
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -132,7 +132,7 @@
             try:
                 while data := visitor.outbox.peek():
                     sent = caller.stream.send_now(data)
-                    visitor.outbox.took(now(), sent)
+                    visitor.outbox.took(sent)
                     if sent < len(data):
                         break
                 else:
@@ -260,16 +260,19 @@
                 await caller.wake.wait()
                 caller.idle = False
                 continue
-            sent = 0
-            with trio.CancelScope(deadline=at(outbox.stalls_at() or 0)) as limit:
-                try:
-                    sent = await stream.send_some(data)
-                except OSError:
-                    break
-            if limit.cancelled_caught and not sent:
+            # the time of a stall begins when the viewer is found to take nothing: what this gateway itself was
+            # late with, standing still for a while, is not the viewer's fault
+            try:
+                sent = stream.send_now(data)
+                if not sent:
+                    with trio.move_on_after(outbox.stall / 1e9):
+                        sent = await stream.send_some(data)
+            except OSError:
+                break
+            if not sent:
                 self.core.visits.stalled(now(), visitor)
                 break
-            outbox.took(now(), sent)
+            outbox.took(sent)
             if outbox.roomy:
                 caller.roomy.set()
                 for link in caller.feeds:
--- a/copperyard/lab/fleet.py
+++ b/copperyard/lab/fleet.py
@@ -71,6 +71,8 @@
     async def replace(self, host: StandIn) -> None:
         """A host's machine is taken away and another one, of a new name and cold, stands in its place."""
         assert self._nursery is not None
+        if host not in self.hosts:
+            return  # two waves met at one host: the first has replaced it already
         self.model_gone(host)
         n = self.hosts.index(host)
         self._replaced += 1
@@ -112,8 +114,10 @@
             await trio.sleep(0.02)
 
     async def start_gateway(self, one: Running) -> None:
-        """Start a gateway, at the address that it had before."""
+        """Start a gateway, at the address that it had before; one that runs is left alone."""
         assert self._nursery is not None
+        if one.gateway is not None:
+            return
         seed = self.seed * 77 + len(self.gateways) * 7 + one.starts
         one.starts += 1
         rng = random.Random(seed)
@@ -144,6 +148,8 @@
         """End it as a kill does: sockets close, nothing is said."""
         self.tap.front_killed(now(), one.name)
         one.gateway = None
+        if one.network is not None:
+            one.network.standing = False  # what is killed stands still no longer
         one.scope.cancel()
 
     def crash(self, host: StandIn) -> None:
@@ -154,7 +160,7 @@
     async def revive(self, host: StandIn) -> None:
         """It starts again, cold, at its address."""
         assert self._nursery is not None
-        if not host.up:
+        if not host.up and host in self.hosts:
             host.reborn()
             await self._nursery.start(host.run, host.address)
             self.lists.later(host, "ready")
--- a/copperyard/lab/viewers.py
+++ b/copperyard/lab/viewers.py
@@ -191,7 +191,18 @@
         other = await self._misbehave(client, url, named)
         if other is None:
             return None
-        answer = await client.answer(cseq)
+        async with trio.open_nursery() as nursery:
+            # beside, so that what a second connection waits for never keeps the first answer unread
+            if visit.habit == "resend-elsewhere" and visit.code:
+                nursery.start_soon(self._elsewhere, url)
+            broken: Exception | None = None
+            try:
+                answer = await client.answer(cseq)
+            except (Broken, *CLOSED) as error:
+                broken = error
+            nursery.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
         visit.statuses.append(answer.status)
         if answer.status == 453:
             return float(answer.header("Retry-After") or 1)
@@ -218,17 +229,18 @@
             return None
         if visit.habit == "resend":
             return [await client.ask("PLAY", url, (*named, ("Range", "npt=0-")))]
-        if visit.habit == "resend-elsewhere" and visit.code:
-            second = await self._open()
-            if second is not None:
-                try:
-                    await self._claim(second, url)
-                except (Broken, *CLOSED):
-                    second.side.ended(now(), bool(getattr(second.stream, "fell", False)))
-                finally:
-                    second.close()
         return []
 
+    async def _elsewhere(self, url: str) -> None:
+        second = await self._open()
+        if second is not None:
+            try:
+                await self._claim(second, url)
+            except (Broken, *CLOSED):
+                second.side.ended(now(), bool(getattr(second.stream, "fell", False)))
+            finally:
+                second.close()
+
     async def _claim(self, client: Client, url: str) -> None:
         """The same code on another connection: anything but a second redemption is right."""
         path, _, query = url.split("/", 3)[-1].partition("?")
