The gateway's timer counts its deadline as the time it stands for

Cause: a deadline kept as a float may come up a nanosecond early; on the virtual clock the loop then yields and never gets on. Change: a deadline that came up is due.

--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -156,15 +156,14 @@
     async def _ticks(self) -> None:
         while True:
             wake = self._wake_at
-            with trio.CancelScope(deadline=at(wake) if wake is not None else float("inf")):
+            with trio.CancelScope(deadline=at(wake) if wake is not None else float("inf")) as waiting:
                 await self._timer.wait()
-            time = now()
-            if wake is not None and time >= wake:
-                self.core.wake(time)
+            if wake is not None and (waiting.cancelled_caught or now() >= wake):
+                # the deadline is a float and may come up a nanosecond before the time it stands for: without this
+                # a clock that moves only when all wait would never get there
                 self._wake_at = None
+                self.core.wake(max(wake, now()))
                 self._carry_out()
-            elif wake is not None and self._wake_at == wake:
-                await trio.lowlevel.checkpoint()
 
     def _follow(self, nursery: trio.Nursery, on: bool) -> None:
         if self._following is not None:
