--- a/copperyard/lab/fleet.py
+++ b/copperyard/lab/fleet.py
@@ -149,7 +149,9 @@
         self.tap.front_killed(now(), one.name)
         one.gateway = None
         if one.network is not None:
-            one.network.standing = False  # what is killed stands still no longer
+            # what is killed stands still no longer, and a cut does not keep its tasks and its listener alive (seed 1869)
+            one.network.standing = False
+            one.network.cut = lambda address: False
         one.scope.cancel()
 
     def crash(self, host: StandIn) -> None:
