--- a/copperyard/cli/main.py
+++ b/copperyard/cli/main.py
@@ -6,12 +6,14 @@
 import random
 import secrets
 import time
+from dataclasses import replace
 from typing import Annotated
 
 import trio
 import typer
 
-from ..gateway.daemon import Gateway, Station
+from ..gateway.daemon import Gateway, StateRefused, Station
+from ..gateway.disk import FolderDisk
 from ..gateway.listing import list_place
 from ..gateway.net import TcpNetwork, now
 from ..telemetry.logs import Logs
@@ -33,6 +35,7 @@
 def serve(path: Settings,
           name: Annotated[str | None, typer.Option(help="Which gateway of the site; the first one else.")] = None,
           drain: Annotated[str, typer.Option(help="How long sessions may go on after the first signal.")] = "30s",
+          accept_loss: Annotated[bool, typer.Option(help="Start although facts on disk are damaged.")] = False,
           log: Form = "json") -> None:
     """Run one gateway until SIGINT or SIGTERM; then take nothing new and let sessions end."""
     site = site_of(path)
@@ -47,6 +50,9 @@
         rules = site.rules_of(place.name, time.time_ns() - now())
         station = Station(place.name, place.listen, rules, site.catalogue(), site.zones,
                           list_place(site.list_url, site.list_wait, site.list_timeout))
+        if site.state is not None:
+            disk = FolderDisk(path.parent / site.state.folder / place.name)
+            station = replace(station, disk=disk, generation=site.state.generation, accept_loss=accept_loss)
         gateway = Gateway(station, TcpNetwork(), secrets.randbits(64), random.SystemRandom(), logs)
 
         async def end() -> None:
@@ -60,6 +66,10 @@
 
     try:
         trio.run(main)
+    except* StateRefused as refused:
+        typer.echo(f"{path}: the state of '{place.name}' must not be started on: {refused.exceptions[0]}; "
+                   "see 'copperyard state verify', or start with --accept-loss", err=True)
+        raise typer.Exit(3) from None
     except* OSError as error:
         typer.echo(f"{path}: cannot serve: {error.exceptions[0]}", err=True)
         raise typer.Exit(1) from None
--- a/copperyard/config/load.py
+++ b/copperyard/config/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -70,6 +71,15 @@
     list_late: int
 
 
+@dataclass(frozen=True, slots=True)
+class StatePlan:
+    """Where gateways keep what must outlive them: `folder` has one folder for each, by its name. `generation` names
+    these settings in the journal."""
+
+    folder: str
+    generation: str
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     """All settings of a site. `settings(zone)` are the module's for a gateway there."""
@@ -82,6 +92,7 @@
     list_wait: int
     list_timeout: int
     lab: LabPlan | None
+    state: StatePlan | None = None
 
     def rules_of(self, name: str, shared: int) -> FrontRules:
         """The rules of the gateway of that name. `shared` is what makes its clock (ns, added) one that all gateways
@@ -206,6 +217,11 @@
             return None
         settings = self._settings(root, fronts, classes, rungs)
         bounds = _bounds(limits)
+        kept = root.find("state")
+        state = None
+        if kept is not None:
+            bounds = replace(bounds, code_life=duration(_attrs(kept)["code-life"]))
+            state = StatePlan(_attrs(kept)["folder"], hashlib.sha256(etree.tostring(root)).hexdigest()[:12])
         if bounds.dead <= bounds.silence:
             self._wrong(limits, "dead is not above silence")
         wire = Limits(size(_attrs(limits)["line"]), int(_attrs(limits)["headers"]), size(_attrs(limits)["body"]),
@@ -213,7 +229,7 @@
         if settings.connect_timeout >= min(c.deadline for c in classes):
             self._wrong(rules, "connect is not under every class's deadline")
         return Site(gateways, zones, FrontRules(settings, entries, bounds, wire, wire), titles, url,
-                    duration(_attrs(place)["wait"]), duration(_attrs(place)["timeout"]), lab)
+                    duration(_attrs(place)["wait"]), duration(_attrs(place)["timeout"]), lab, state)
 
     def _zones(self, root: etree._Element) -> tuple[str, ...]:
         names = [_attrs(zone)["name"] for zone in root.iterfind("zones/zone")]
--- a/copperyard/control/attempt.py
+++ b/copperyard/control/attempt.py
@@ -124,7 +124,9 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """The dialogue. `limit` is the time in ns by which it must have come to Played."""
+    """The dialogue. `limit` is the time in ns by which it must have come to Played. `intent` and `fact` are the
+    journal's numbers of what this attempt wrote: that its code is about to leave, and that it was redeemed. With
+    `hold` the PLAY waits for `go`: the viewer's answer follows on it, and must not come before its fact is on disk."""
 
     plan: Plan
     limits: Limits
@@ -138,6 +140,10 @@
     sent: bool = False
     heard: int = 0
     rung: int = 0
+    intent: int = 0
+    fact: int = 0
+    hold: bool = False
+    _held: bool = False
     _wire: Connection = field(init=False)
     _session: str = ""
     _tracks: int = 0
@@ -287,8 +293,16 @@
         self._tracks += 1
         if self._tracks < len(self.splices):
             return self._setup()
-        self.stage = Stage.PLAY
-        self._ask("PLAY", self._url(), (("Range", f"npt={self.plan.start:.3f}-"),))
+        self._held = True
+        if not self.hold:
+            self.go()
+
+    def go(self) -> None:
+        """The PLAY leaves, or will as soon as all tracks are set up."""
+        self.hold = False
+        if self._held and self.stage is Stage.SETUP:
+            self.stage = Stage.PLAY
+            self._ask("PLAY", self._url(), (("Range", f"npt={self.plan.start:.3f}-"),))
 
     def _playing(self, now: int, response: Response, found: list[Result]) -> None:
         if response.status != 200:
@@ -342,19 +356,25 @@
     return Media(frame_header(splice.channel + 1, len(payload)) + payload)
 
 
-class Probing:
-    """One question for a host's load, on a connection of its own."""
+class Question:
+    """One question to a host, on a connection of its own."""
 
-    def __init__(self, address: str, limits: Limits) -> None:
+    def __init__(self, address: str, limits: Limits, headers: Headers = ()) -> None:
         self._wire = Connection(limits)
-        self.out = self._wire.ask("GET_PARAMETER", f"rtsp://{address}/")[1]
+        self.out = self._wire.ask("GET_PARAMETER", f"rtsp://{address}/", headers)[1]
 
-    def receive(self, data: bytes) -> tuple[Code, Report | None] | None:
-        """The answer, None while there is none."""
+    def receive(self, data: bytes) -> Response | Code | None:
+        """The answer, ERROR for what is none, None while there is neither."""
         for event in self._wire.receive(data):
             if isinstance(event, Reply):
-                ok = event.response.status == 200
-                return (Code.OK if ok else Code.ERROR), parse_report(event.response.header(REPORT_HEADER))
+                return event.response
             if isinstance(event, Malformed | Unasked):
-                return Code.ERROR, None
+                return Code.ERROR
         return None
+
+
+def load_told(answer: Response | Code) -> tuple[Code, Report | None]:
+    """What the answer to a probe comes to."""
+    if isinstance(answer, Code):
+        return answer, None
+    return (Code.OK if answer.status == 200 else Code.ERROR), parse_report(answer.header(REPORT_HEADER))
--- a/copperyard/control/budget.py
+++ b/copperyard/control/budget.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
 
 class FurtherBudget:
@@ -17,6 +18,21 @@
         self._taken: deque[int] = deque()
         self._spent: deque[int] = deque()
 
+    def assume_spent(self, now: int) -> None:
+        """An earlier life was killed: how much it spent of this window is not known, so all of it. Writing each further
+        attempt to disk before it leaves was weighed: a sync for each retry, to save one window without them."""
+        if self.free is not None:
+            self._spent.extend([now] * int(self.free))
+
+    def restore(self, now: int, ages: Iterable[int]) -> None:
+        """An earlier life came to a planned end and told how long ago it spent each."""
+        self._spent.extend(sorted(now - age for age in ages))
+
+    def ages(self, now: int) -> tuple[int, ...]:
+        """How long ago each further attempt of this window left."""
+        self._forget(now)
+        return tuple(now - at for at in self._spent)
+
     def taken(self, now: int) -> None:
         """A request was taken."""
         if self.free is not None:
--- a/copperyard/control/core.py
+++ b/copperyard/control/core.py
@@ -9,7 +9,9 @@
 
 from ..interface import ListKind, ServerList
 from ..membership.roster import BadList, Roster
+from ..state.facts import Listed
 from .catalogue import Catalogue
+from .memory import Memory
 from .orders import Line, Order
 from .plays import Plays
 from .rules import FrontRules
@@ -29,7 +31,10 @@
         self._orders: list[Order] = []
         self.roster = Roster(zones, rules.settings.cells)
         self.plays = Plays(rules, seed, name, self._orders)
+        self._cached = b""
         self.plays.reborn = self._reborn
+        self.plays.host_name = lambda server: self.roster.names.get(server, "")
+        self.plays.host_address = lambda host: self.roster.addresses.get(self.roster.numbers.get(host, -1))
         self.visits = Visits(rules, catalogue, self.plays, rng, self._orders, name)
 
     def take(self) -> list[Order]:
@@ -38,6 +43,33 @@
         self._orders.clear()
         return orders
 
+    def remember(self, now: int, memory: Memory, spent: tuple[int, ...] | None) -> None:
+        """Before the start: take over what an earlier life left. `spent` are the ages of its last further attempts,
+        None where it did not come to a planned end."""
+        plays = self.plays
+        plays.memory = memory
+        plays.restore(now)
+        if spent is None:
+            plays.budget.assume_spent(now)
+        else:
+            plays.budget.restore(now, spent)
+        self._cached = memory.state.body
+
+    def _use_cached(self, now: int) -> None:
+        """The list service does not answer at the start: the last list that an earlier life heard is better than none.
+        It is not used before: where the service answers, what it says is newer."""
+        body, self._cached = self._cached, b""
+        if not body or self.roster.generation is not None:
+            return
+        try:
+            news = self.roster.take(now, body)
+        except BadList as error:
+            self._orders.append(Line("list not taken", (("text", f"kept from before: {error}"),)))
+            return
+        if news is not None:
+            self._orders.append(Line("list kept from before", (("generation", self.roster.generation or 0),)))
+            self.plays.listed(now, ServerList(ListKind.CACHED, news.entries), self.roster.addresses)
+
     def start(self, now: int) -> None:
         """The front starts knowing no list; with its first event the module asks to follow it."""
         self.plays.listed(now, ServerList(ListKind.CACHED), {})
@@ -53,6 +85,8 @@
             self._orders.append(Line("list", (("generation", self.roster.generation or 0),
                                               ("lines", len(news.entries)))))
             self.plays.listed(now, news, self.roster.addresses)
+            memory = self.plays.memory
+            memory.write(now, Listed(memory.at(now), self.roster.export(now)))
         return True
 
     def _reborn(self, now: int, server: int, boot: str, age: int | None) -> bool:
@@ -69,6 +103,7 @@
         """The list service did not answer, or its answer was of no use; the module says when to ask again."""
         self._orders.append(Line("list failed", (("text", text),)))
         self.plays.listed(now, ServerList(ListKind.FAILED), {})
+        self._use_cached(now)
 
     def next_wake(self) -> int | None:
         return self.plays.timers.next()
--- a/copperyard/control/orders.py
+++ b/copperyard/control/orders.py
@@ -55,6 +55,16 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Ask a host what became of the set-up `request`, within the time for a connect; `code` is the digest that the
+    answer is given back with."""
+
+    address: str
+    request: str
+    code: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Follow:
     """Start to follow the server list, or stop."""
@@ -70,4 +80,4 @@
     fields: tuple[tuple[str, str | int], ...] = ()
 
 
-Order = Start | Flush | Stop | Wrote | Hangup | Ask | Follow | Line
+Order = Start | Flush | Stop | Wrote | Hangup | Ask | Settle | Follow | Line
--- a/copperyard/control/plays.py
+++ b/copperyard/control/plays.py
@@ -40,6 +40,8 @@
     Wake,
     Watch,
 )
+from ..state.facts import Carried, Cleared, digest
+from ..state.facts import Redeemed as CodeRedeemed
 from .attempt import (
     Attempt,
     Done,
@@ -59,14 +61,18 @@
 from .catalogue import Title
 from .evidence import NoteGate
 from .hosts import HostBook
-from .orders import Ask, Flush, Follow, Line, Order, Start, Stop
-from .redemption import Redemptions, Verdict
+from .memory import STORE_WAIT, Forgetful, Memory
+from .orders import Ask, Flush, Follow, Line, Order, Settle, Start, Stop
+from .redemption import Fate, Redemptions, Verdict
 from .rules import FrontRules
+from .settling import Answer, Settler, parse_settled
 from .splice import Splice
 from .timers import Timers
 
 UNRUN = (Code.FULL, Code.CONNECT_FAILED, Code.MOOT)
 SECOND = 1_000_000_000
+EXPIRE_EVERY = 60 * SECOND  # ns between looks for codes that may be forgotten
+EXPIRE_MOST = 2000  # codes forgotten at a time: about a millisecond
 
 
 class Customer(Protocol):
@@ -129,6 +135,7 @@
     answered: bool = False
     opened: bool = False
     last: Code | None = None
+    host: str = ""
     kept_alive: int = 0
 
 
@@ -161,6 +168,11 @@
         self.reborn: Callable[[int, int, str, int | None], bool] = lambda now, server, boot, age: False
         self.budget = FurtherBudget(s.ratio_span, s.free_resends, s.further_ratio)
         self.codes = Redemptions(rules.bounds.codes)
+        self.memory: Memory = Forgetful()
+        self.settler = Settler()
+        self.host_name: Callable[[int], str] = str
+        self.host_address: Callable[[str], str | None] = lambda name: None
+        self._stored: dict[int, Attempt] = {}  # attempts that wait for the journal, by ref
         self.timers = Timers()
         self.plays: dict[int, Play] = {}
         self.waiting = 0  # of them, those that do not play yet
@@ -234,9 +246,15 @@
         wish = play.wish
         receipt = self.codes.receipt(wish.code) if wish.code is not None and not play.fresh else ""
         cls = self.rules.settings.classes[wish.cls].name
+        play.host = self.host_name(action.server)
         plan = Plan(play.ref, number, action.server, address, wish.title, wish.tracks, cls, play.rung, self.name,
                     wish.code if play.fresh else None, receipt, wish.start)
         play.attempt = Attempt(plan, self.rules.hosts, wish.splices, now, min(action.not_past, play.deadline))
+        if plan.code is not None:
+            # the disk works while the connection is made; the set-up waits for both
+            fact = Carried(self.memory.at(now), digest(plan.code), f"{self.name}/{plan.ref}",
+                           self.host_name(plan.server))
+            play.attempt.intent, play.attempt.hold = self.memory.write(now, fact), True
         self.counts.attempts += 1
         self.orders.append(Start(play.attempt))
 
@@ -282,6 +300,16 @@
         fresh = True
         if wish.code is not None:
             verdict = self.codes.claim(wish.code, ref)
+            if verdict is Verdict.UNCLEAR:
+                self.settler.urge(now, digest(wish.code))
+                self.settle_timer(now)
+            elif verdict is Verdict.REDEEM and not self.memory.well:
+                # without a disk a redemption would be forgotten by a kill: it is not begun. Free sessions, and
+                # families that paid already, go on
+                self.codes.settle(wish.code, ref)
+                self.counts.denied += 1
+                customer.denied(now, 503, "codes cannot be taken just now")
+                return None
             fresh = verdict is Verdict.REDEEM
             if verdict in _CODE_DENIALS:
                 self.counts.denied += 1
@@ -310,7 +338,7 @@
             self.counts.left += 1
         if attempt is None:
             self._feed(now, Left(ref))
-            self._drop(play)
+            self._drop(now, play)
         elif play.opened:
             self._end(attempt, Code.OK)
         else:
@@ -360,13 +388,19 @@
         """Whether what held when the attempt was decided need not hold any more: news of an end came since, its time
         has passed, or so long went by (this front stood still) that a turn at a cold host is another's by now."""
         return now >= attempt.limit or not self.hosts.may_start(attempt.plan.server, attempt.began) \
-            or now - attempt.began > 2 * self.rules.settings.connect_timeout
+            or now - attempt.began > 2 * self.rules.settings.connect_timeout + (STORE_WAIT if attempt.intent else 0)
 
     def _leave(self, now: int, attempt: Attempt) -> bool:
         """Whether the set-up leaves now: the last instant at which nothing has run."""
         plan = attempt.plan
-        if attempt.verdict is None and (self._too_late(now, attempt)
-                                        or plan.number > 0 and not self.budget.spend(now)):
+        if attempt.verdict is None and self._too_late(now, attempt):
+            attempt.verdict = Code.MOOT
+        if attempt.verdict is None and not self.memory.durable(attempt.intent):
+            # that the code may be redeemed from now on must outlive this process
+            self._stored[plan.ref] = attempt
+            self.timers.set(("store", plan.ref), now + STORE_WAIT)
+            return True
+        if attempt.verdict is None and plan.number > 0 and not self.budget.spend(now):
             attempt.verdict = Code.MOOT
         if attempt.verdict is not None:
             return False
@@ -375,6 +409,87 @@
         attempt.connected(now)
         return True
 
+    def stored(self, now: int) -> None:
+        """More is durable than before, or the disk failed: what waited for it goes on, or comes to its end."""
+        for ref, attempt in list(self._stored.items()):
+            if attempt.stage in (Stage.CONNECT, Stage.ASK):
+                if self.memory.durable(attempt.intent):
+                    self._unwait(ref)
+                    if self._leave(now, attempt):
+                        self.orders.append(Flush(attempt))
+                    else:
+                        attempt.tear_down()
+                        self.orders.append(Stop(attempt))
+            elif self.memory.durable(attempt.fact):
+                self._unwait(ref)
+                attempt.go()
+                self.orders.append(Flush(attempt))
+
+    def _unwait(self, ref: int) -> None:
+        self._stored.pop(ref, None)
+        self.timers.drop(("store", ref))
+
+    def _store_late(self, now: int, ref: int) -> None:
+        """The journal took too long. A set-up that has not left never will; a code that is redeemed is not kept
+        from its family any longer: its intent is durable, and an answer lost by a kill is found again by asking the
+        host."""
+        attempt = self._stored.pop(ref, None)
+        if attempt is None:
+            return
+        self.orders.append(Line("journal late", (("ref", ref),)))
+        if attempt.sent:
+            attempt.go()
+            self.orders.append(Flush(attempt))
+        else:
+            self._end(attempt, Code.MOOT)
+
+    # ---- codes that are unclear
+
+    def settle_timer(self, now: int) -> None:
+        """See to it that whoever is due is asked."""
+        due = self.settler.next()
+        if due is not None:
+            self.timers.set(("settle", 0), max(now, due))
+
+    def _ask_hosts(self, now: int) -> None:
+        for case in self.settler.due(now, lambda name: self.host_address(name) is not None):
+            address = self.host_address(case.host)
+            assert address is not None
+            self.orders.append(Settle(address, case.request, case.code))
+        self.settle_timer(now)
+
+    def settled(self, now: int, code: bytes, text: str | None) -> None:
+        """A host's answer about an unclear code, or None where it gave none."""
+        answer, receipt = parse_settled(text)
+        if self.settler.answered(now, code, answer):
+            self.cleared_up(now, code, receipt if answer is Answer.REDEEMED else None)
+        self.settle_timer(now)
+
+    def _expire(self, now: int) -> None:
+        """Forget codes that no office takes any more, a bounded number at a time."""
+        before = self.memory.at(now) - self.rules.bounds.code_life
+        found = self.memory.state.expire(before, EXPIRE_MOST)
+        self.codes.forget(found)
+        for code in found:
+            self.settler.drop(code)
+        self.timers.set(("expire", 0), now + (SECOND if len(found) == EXPIRE_MOST else EXPIRE_EVERY))
+
+    def restore(self, now: int) -> None:
+        """Take over what the journal holds of an earlier life."""
+        self.timers.set(("expire", 0), now + EXPIRE_EVERY)
+        state = self.memory.state
+        self.codes.restore(state.codes)
+        for code, kept in state.unclear().items():
+            self.settler.add(now, code, kept.request, kept.host)
+        self.settle_timer(now)
+
+    def cleared_up(self, now: int, code: bytes, receipt: str | None) -> None:
+        """A host told what became of an unclear code: redeemed with this receipt, or (None) never."""
+        if self.codes.cleared_up(code, receipt):
+            at = self.memory.at(now)
+            self.memory.write(now, Cleared(at, code) if receipt is None else CodeRedeemed(at, code, receipt))
+            self.orders.append(Line("code settled", (("redeemed", "no" if receipt is None else "yes"),)))
+
     def _ready(self, now: int, attempt: Attempt, ready: Ready) -> None:
         """A host that was asked first is there. Where it began anew the module decides again, knowing that."""
         plan = attempt.plan
@@ -412,12 +527,17 @@
         attempt.verdict, attempt.stage = code, Stage.DONE
         play.attempt = None
         plan = attempt.plan
-        if plan.code is not None and code in UNRUN:
-            self.codes.never_ran(plan.code)
+        self._unwait(plan.ref)
+        if plan.code is not None and (code in UNRUN or not attempt.sent):
+            self._never_ran(now, plan.code)
         if play.opened and play.customer is not None:
             play.customer.ended(now, code)
         self._outcome(now, play, plan.number, plan.server, code, now - attempt.began, attempt.report)
 
+    def _never_ran(self, now: int, code: str) -> None:
+        if self.codes.never_ran(code):
+            self.memory.write(now, Cleared(self.memory.at(now), digest(code)))
+
     def _outcome(self, now: int, play: Play, number: int, server: int, code: Code, took: int,
                  report: Report | None) -> None:
         over = play.opened or play.answered or play.customer is None
@@ -426,7 +546,7 @@
         if code is not Code.OK:
             self._line("attempt ended", play, ("attempt", number), ("server", server), ("outcome", code.name))
         if over:
-            self._drop(play)
+            self._drop(now, play)
         self._feed(now, Outcome(play.ref, number, server, code, took, over, report))
 
     def _end(self, attempt: Attempt, code: Code) -> None:
@@ -453,6 +573,8 @@
         elif isinstance(result, Redeemed):
             if play.wish.code is not None:
                 self.codes.redeemed(play.wish.code, result.receipt)
+                if attempt.hold:
+                    self._keep_receipt(now, attempt, play.wish.code, result.receipt)
         elif isinstance(result, Stepped):
             if not result.ok:
                 self.orders.append(Line("rung not followed", (("ref", plan.ref), ("rung", result.rung))))
@@ -464,10 +586,19 @@
         else:
             self._over(now, play, attempt, result)
 
+    def _keep_receipt(self, now: int, attempt: Attempt, code: str, receipt: str) -> None:
+        fact = CodeRedeemed(self.memory.at(now), digest(code), receipt)
+        attempt.fact = self.memory.write(now, fact)
+        if self.memory.durable(attempt.fact):
+            attempt.go()
+        else:
+            self._stored[attempt.plan.ref] = attempt
+            self.timers.set(("store", attempt.plan.ref), now + STORE_WAIT)
+
     def _over(self, now: int, play: Play, attempt: Attempt, over: Over) -> None:
         if over.status == 403 and attempt.plan.code is not None and not play.opened:
             # the office takes no such code: that is the viewer's matter, and must not count against the host
-            self.codes.never_ran(attempt.plan.code)
+            self._never_ran(now, attempt.plan.code)
             self._answer(now, play, "denied", lambda c: c.denied(now, 403, "the code is not valid"))
             self._end(attempt, Code.CANCELLED)
         else:
@@ -501,21 +632,23 @@
         if customer is not None:
             tell(customer)
         if play.attempt is None:
-            self._drop(play)
+            self._drop(now, play)
 
     def _line(self, event: str, play: Play, *fields: tuple[str, str | int]) -> None:
         """A line of one session; all of a session's lines share its ref. What went well makes none."""
         cls = self.rules.settings.classes[play.wish.cls].name
         self.orders.append(Line(event, (("ref", play.ref), ("class", cls), ("title", play.wish.title.path), *fields)))
 
-    def _drop(self, play: Play) -> None:
+    def _drop(self, now: int, play: Play) -> None:
         """All is over: forget the wish, and say what became of its code."""
         if self.plays.pop(play.ref, None) is not None and not play.opened:
             self.waiting -= 1
         for kind in ("overdue", "alive", "asked", "ask"):
             self.timers.drop((kind, play.ref))
-        if play.wish.code is not None:
-            self.codes.settle(play.wish.code, play.ref)
+        if play.wish.code is not None and self.codes.settle(play.wish.code, play.ref) is Fate.UNCLEAR:
+            key = digest(play.wish.code)
+            self.settler.add(now, key, f"{self.name}/{play.ref}", play.host)
+            self.settle_timer(now)
 
     # ---- news and time
 
@@ -535,6 +668,12 @@
         if kind == "module":
             self._feed(now, Wake(number))
             return
+        if kind == "settle":
+            return self._ask_hosts(now)
+        if kind == "expire":
+            return self._expire(now)
+        if kind == "store":
+            return self._store_late(now, number)
         play = self.plays.get(number)
         if play is None:
             return
--- a/copperyard/control/rules.py
+++ b/copperyard/control/rules.py
@@ -25,7 +25,8 @@
     `queue`: bytes that wait for one viewer before its host is read no further; `stall`: how long a viewer may
     take nothing before its sessions end; `idle`: the RTSP session time-out; `silence`: how long a playing host
     may send nothing before the module hears of it; `dead`: and before the session is given up; `codes`: paid
-    codes remembered; `open_requests`: requests without an answer at a time."""
+    codes remembered; `code_life`: how long after its last use no office takes a code any more; `open_requests`:
+    requests without an answer at a time."""
 
     connections: int
     sessions: int
@@ -36,6 +37,7 @@
     silence: int
     dead: int
     codes: int
+    code_life: int = 30 * 24 * 3600 * 1_000_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -10,15 +10,22 @@
 import trio
 from trio import TaskStatus
 
-from ..control.attempt import Attempt
+from ..control.attempt import Attempt, load_told
 from ..control.catalogue import Catalogue
 from ..control.core import Core
-from ..control.orders import Ask, Flush, Follow, Hangup, Line, Start, Stop, Wrote
+from ..control.memory import STORE_WAIT
+from ..control.orders import Ask, Flush, Follow, Hangup, Line, Settle, Start, Stop, Wrote
 from ..control.rules import FrontRules
+from ..control.settling import SETTLE_HEADER, SETTLED_HEADER
 from ..control.visits import Visitor
+from ..interface import Code
+from ..state.book import Book
+from ..state.recovery import recover
+from .disk import Disk
 from .listing import Follower, ListPlace
 from .net import Listener, Network, Signal, Stream, at, now
-from .upstream import Link, probe
+from .store import Store
+from .upstream import Link, ask
 
 Logger = Callable[[str, Mapping[str, str | int]], None]
 
@@ -33,6 +40,13 @@
     catalogue: Catalogue
     zones: tuple[str, ...]
     hosts: ListPlace
+    disk: Disk | None = None
+    generation: str = ""
+    accept_loss: bool = False
+
+
+class StateRefused(Exception):
+    """The state on disk must not be started on: why."""
 
 
 class Caller:
@@ -59,6 +73,9 @@
         self._callers: dict[Visitor, Caller] = {}
         self._following: trio.CancelScope | None = None
         self._follower: Follower | None = None
+        self._store: Store | None = None
+        self._written = -1
+        self._ailing = ""
         self._timer = Signal()
         self._wake_at: int | None = None
         self._nursery: trio.Nursery | None = None
@@ -66,10 +83,17 @@
 
     async def run(self, task_status: TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; tells the address once it listens."""
-        listener = self._listener = await self.network.listen(self.station.listen)
+        self._recover()
+        try:
+            listener = self._listener = await self.network.listen(self.station.listen)
+        except OSError:
+            self._let_go()
+            raise
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
+                if self._store is not None:
+                    nursery.start_soon(self._store.run)
                 self.address = listener.address
                 nursery.start_soon(self._ticks)
                 self.core.start(now())
@@ -78,6 +102,49 @@
                 nursery.start_soon(self._accept, listener)
         finally:
             listener.close()
+            self._let_go()
+
+    def _recover(self) -> None:
+        """Take over the state that an earlier life left. StateRefused, LockedError, or OSError."""
+        disk, core = self.station.disk, self.core
+        if disk is None:
+            return
+        disk.lock(core.label)
+        try:
+            touched = disk.touched()
+            found = recover(disk.names(), disk.read)
+            for one in found.dropped:
+                self.log("state dropped", {"front": self.station.name, "file": one.name, "text": one.text,
+                                           "harm": "yes" if one.harm else "no"})
+            refusal = found.refusal(self.station.accept_loss)
+            if refusal is not None:
+                raise StateRefused(refusal)
+        except BaseException:
+            disk.close()
+            raise
+        state = found.state
+        spent = state.spent if state.ended else None
+        self.log("state recovered", {
+            "front": self.station.name, "codes": len(state.codes), "unclear": len(state.unclear()),
+            "records": found.replayed, "lives": state.lives, "planned": "yes" if state.ended else "no"})
+        down = disk.wall() - touched if touched is not None else 0
+        book = Book(found, core.label, self.station.generation, now(), down)
+        core.remember(now(), book, spent)
+        self._store = Store(book, disk, self._stored)
+
+    def _let_go(self) -> None:
+        if self._store is not None and self.station.disk is not None:
+            self.station.disk.close()
+
+    def _stored(self) -> None:
+        """More is durable, or the disk failed."""
+        store = self._store
+        if store is not None and store.book.ailing != self._ailing:
+            self._ailing = store.book.ailing
+            self.log("journal failed" if self._ailing else "journal well again",
+                     {"front": self.station.name, "text": self._ailing})
+        self.core.plays.stored(now())
+        self._carry_out()
 
     async def drain(self, most: float) -> None:
         """Take nothing new, let what plays come to its end for at most `most` s, then stop serving."""
@@ -87,9 +154,21 @@
         with trio.move_on_after(most):
             while self.core.plays.plays:  # noqa: ASYNC110 - a drain looks now and then, and no session pays for it
                 await trio.sleep(0.05)
+        await self._close_book()
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
+    async def _close_book(self) -> None:
+        """A planned end is the last fact; a disk that does not take it makes the end an unplanned one."""
+        store = self._store
+        if store is None:
+            return
+        last = store.book.close(now(), self.core.plays.budget.ages(now()))
+        store.look()
+        with trio.move_on_after(STORE_WAIT / 1e9):
+            while not store.book.durable(last):  # noqa: ASYNC110 - once in a process's life
+                await trio.sleep(0.01)
+
     # ---- orders
 
     def _carry_out(self) -> None:
@@ -114,11 +193,16 @@
                     caller.wake.set()
             elif isinstance(order, Ask):
                 nursery.start_soon(self._guarded, "probe", self._probe, order.server, order.address)
+            elif isinstance(order, Settle):
+                nursery.start_soon(self._guarded, "settle", self._settle, order)
             elif isinstance(order, Follow):
                 self._follow(nursery, order.on)
             else:
                 assert isinstance(order, Line)
                 self.log(order.event, {"front": self.station.name, **dict(order.fields)})
+        if self._store is not None and self._store.book.sequence != self._written:
+            self._written = self._store.book.sequence
+            self._store.look()
         wake = self.core.next_wake()
         if wake != self._wake_at:
             self._wake_at = wake
@@ -185,10 +269,16 @@
             await self._follower.catch_up(self.core.plays.news_wait / 1e9)
 
     async def _probe(self, server: int, address: str) -> None:
-        code, report = await probe(self.network, self.core, address)
+        code, report = load_told(await ask(self.network, self.core, address))
         self.core.plays.probed(now(), server, code, report)
         self._carry_out()
 
+    async def _settle(self, order: Settle) -> None:
+        answer = await ask(self.network, self.core, order.address, ((SETTLE_HEADER, order.request),))
+        text = answer.header(SETTLED_HEADER) if not isinstance(answer, Code) else None
+        self.core.plays.settled(now(), order.code, text)
+        self._carry_out()
+
     async def _upstream(self, attempt: Attempt) -> None:
         link = Link(self.core, self.network, attempt, self._carry_out, self._catch_up)
         play = self.core.plays.plays.get(attempt.plan.ref)
--- a/copperyard/gateway/upstream.py
+++ b/copperyard/gateway/upstream.py
@@ -6,9 +6,11 @@
 
 import trio
 
-from ..control.attempt import Attempt, Probing, Stage
+from ..control.attempt import Attempt, Question, Stage
 from ..control.core import Core
-from ..interface import Code, Report
+from ..interface import Code
+from ..protocol.rtsp import Response
+from ..protocol.rtsp.messages import Headers
 from .net import Network, Signal, Stream, at, now
 
 READ = 65536
@@ -107,9 +109,9 @@
                 return
 
 
-async def probe(network: Network, core: Core, address: str) -> tuple[Code, Report | None]:
-    """Ask a host for its load, within the time for a connect."""
-    probing = Probing(address, core.rules.hosts)
+async def ask(network: Network, core: Core, address: str, headers: Headers = ()) -> Response | Code:
+    """Ask a host one question, within the time for a connect: its answer, or why there is none."""
+    probing = Question(address, core.rules.hosts, headers)
     stream: Stream | None = None
     code = Code.CONNECT_FAILED
     try:
@@ -128,4 +130,4 @@
     finally:
         if stream is not None:
             stream.close()  # also when the gateway is cancelled in the middle of a probe
-    return code, None
+    return code
--- a/copperyard/lab/fleet.py
+++ b/copperyard/lab/fleet.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 from trio import TaskStatus
@@ -19,6 +19,7 @@
 from .faultnet import FaultNetwork
 from .host import Office, StandIn
 from .listservice import ListService
+from .memdisk import MemoryDisk
 
 Make = Callable[[Station, Network, int, random.Random], Gateway]
 
@@ -57,6 +58,7 @@
         self.gone: list[StandIn] = []
         self._replaced = 0
         self.gateways: list[Running] = []
+        self.disks: dict[str, MemoryDisk] = {}  # of gateways that keep state: they outlive them
         self._nursery: trio.Nursery | None = None
 
     def _host(self, name: str, cell: int, kind: int, zone: int, weight: float, link: float, n: int,
@@ -103,6 +105,9 @@
             place = list_place(f"http://{address}{path}", site.list_wait, site.list_timeout)
             for one in site.gateways:
                 station = Station(one.name, one.listen, site.rules_of(one.name, 0), site.catalogue(), site.zones, place)
+                if site.state is not None:
+                    disk = self.disks[one.name] = MemoryDisk(random.Random(self.seed * 31 + len(self.disks)))
+                    station = replace(station, disk=disk, generation=site.state.generation)
                 running = Running(one.name, station)
                 self.gateways.append(running)
                 await self.start_gateway(running)
@@ -123,8 +128,7 @@
         rng = random.Random(seed)
         station = one.station
         if one.address:
-            station = Station(station.name, one.address, station.rules, station.catalogue, station.zones,
-                              station.hosts)
+            station = replace(station, listen=one.address)
         zone = one.station.rules.settings.zone
         one.network = FaultNetwork(self.network, lambda address: self._is_cut(zone, address))
         one.gateway = self.make(station, one.network, seed, rng) if self.make else \
@@ -149,10 +153,13 @@
         self.tap.front_killed(now(), one.name)
         one.gateway = None
         if one.network is not None:
-            # what is killed stands still no longer, and a cut does not keep its tasks and its listener alive (seed 1869)
+            # what is killed stands still no longer, and a cut does not keep its tasks and its listener alive (seed
+            # 1869)
             one.network.standing = False
             one.network.cut = lambda address: False
         one.scope.cancel()
+        if one.name in self.disks:
+            self.disks[one.name].process_died()
 
     def crash(self, host: StandIn) -> None:
         """A host's process dies; the list service learns of it in its own time."""
--- a/copperyard/lab/host.py
+++ b/copperyard/lab/host.py
@@ -12,6 +12,7 @@
 from ..control.attempt import FEATURE
 from ..control.catalogue import Catalogue
 from ..control.evidence import REPORT_HEADER, UP_HEADER, encode_report, encode_up, note_app
+from ..control.settling import SETTLE_HEADER, SETTLED_HEADER, Answer
 from ..gateway.net import CLOSED, Listener, Network, Signal, Stream, now
 from ..interface import NoteKind, Report
 from ..protocol.rtp import Bye, Packet, SenderReport, encode_compound, pack
@@ -37,13 +38,15 @@
         self.receipts: dict[str, str] = {}
         self.asked: list[tuple[int, str, str]] = []
         self.refused = 0
+        self.by_request: dict[str, str] = {}
 
-    def redeem(self, time: int, code: str, host: str) -> str | None:
+    def redeem(self, time: int, code: str, host: str, request: str = "") -> str | None:
         self.asked.append((time, code, host))
         if code in self.receipts or code.startswith("bad"):
             self.refused += 1
             return None
         self.receipts[code] = f"r-{len(self.receipts)}-{code}"
+        self.by_request[request] = self.receipts[code]
         return self.receipts[code]
 
     def knows(self, receipt: str) -> bool:
@@ -102,6 +105,8 @@
         self._scope: trio.CancelScope | None = None
         self._streams: dict[Stream, None] = {}
         self._shorted: dict[str, bool] = {}
+        self.setting: set[str] = set()  # set-ups at work, by Request-Id
+        self.barred: set[str] = set()
 
     # ---- life
 
@@ -253,7 +258,8 @@
                       nursery: trio.Nursery) -> tuple[Response, bool]:
         method, named = request.method, request.header("Session")
         if method == "GET_PARAMETER" and named is None:
-            return Response(200), False
+            asked = request.header(SETTLE_HEADER)
+            return Response(200, ((SETTLED_HEADER, self._settled(asked)),) if asked else ()), False
         if method == "SETUP" and named is None:
             return await self._set_up(request, writer, own)
         session = own.get(parse_session(named or "")[0])
@@ -281,6 +287,16 @@
             return self._rung(request, session), False
         return Response(200, headers), False
 
+    def _settled(self, request: str) -> str:
+        """What became of a set-up; one that never ran here will not run any more."""
+        if request in self.setting:
+            return Answer.RUNNING.value
+        receipt = self.office.by_request.get(request)
+        if receipt is not None:
+            return f"{Answer.REDEEMED.value}; receipt={receipt}"
+        self.barred.add(request)
+        return Answer.NEVER.value
+
     async def _set_up(self, request: Request, writer: _Writer, own: dict[str, Playing]) -> tuple[Response, bool]:
         if request.header("Require") != FEATURE:
             return Response(551, (("Unsupported", request.header("Require") or ""),)), False
@@ -288,11 +304,18 @@
         title = self.catalogue.find(parse_url(request.uri).path)
         if title is None or (self.cell - title.home) % s.cells >= title.holders:
             return Response(404), False
+        name = request.header("Request-Id") or ""
+        if name in self.barred:
+            return Response(453), False
         ticket = model.queue_up(now())
         if ticket is None:
             return Response(453), False
-        while now() < ticket.done:  # noqa: ASYNC110 - a pause moves it
-            await trio.sleep((ticket.done - now()) / SECOND)
+        self.setting.add(name)
+        try:
+            while now() < ticket.done:  # noqa: ASYNC110 - a pause moves it
+                await trio.sleep((ticket.done - now()) / SECOND)
+        finally:
+            self.setting.discard(name)
         if self.random.random() < faults.errors:
             return Response(500), False
         if faults.full or not model.has_room():
@@ -300,7 +323,7 @@
         headers: Headers = ()
         code, receipt = request.header("Redeem"), request.header("Receipt")
         if code is not None:
-            receipt = self.office.redeem(now(), code, self.name)
+            receipt = self.office.redeem(now(), code, self.name, request.header("Request-Id") or "")
             if receipt is None:
                 return Response(403), False
             headers = (("Receipt", receipt),)
--- a/copperyard/membership/roster.py
+++ b/copperyard/membership/roster.py
@@ -135,6 +135,20 @@
         self._entries[server] = entry
         return entry
 
+    def export(self, now: int) -> bytes:
+        """The list as it is known, as a body that `take` reads. Ages are those of now: read later they are too low,
+        and a host passes for colder than it is."""
+        hosts = []
+        for server, entry in self._entries.items():
+            host: dict[str, Any] = {
+                "id": self.names[server], "address": self.addresses[server], "cell": entry.cell,
+                "zone": self.zones[entry.zone], "kind": entry.kind, "weight": entry.weight,
+                "state": ServerState(entry.state).name.lower(), "boot": self._boots[server]}
+            if entry.started:
+                host["age_ms"] = max(0, now - entry.started) // MS
+            hosts.append(host)
+        return json.dumps({"generation": self.generation, "hosts": hosts}).encode()
+
     def heard(self, now: int, server: int, boot: str, age: int | None) -> ServerEntry | None:
         """A host itself told its boot, and how long it is up (ns, None: long). Its entry, where that is news: the
         list's service hears of a start later than whoever asks the host."""
