--- a/copperyard/control/attempt.py
+++ b/copperyard/control/attempt.py
@@ -143,6 +143,8 @@
     intent: int = 0
     fact: int = 0
     hold: bool = False
+    trip: int = 0  # ns that the last exchange with the host took: its connect, or the question before the set-up
+    asked: int = 0
     _held: bool = False
     _wire: Connection = field(init=False)
     _session: str = ""
@@ -170,7 +172,7 @@
     def ask_first(self, now: int) -> None:
         """The connection stands: ask for a sign of life, by which the host also tells how long it is up. Nothing of
         the session has left yet."""
-        self.stage, self.heard = Stage.ASK, now
+        self.stage, self.heard, self.asked = Stage.ASK, now, now
         self._ask("GET_PARAMETER", f"rtsp://{self.plan.address}/")
 
     def connected(self, now: int) -> None:
--- a/copperyard/state/book.py
+++ b/copperyard/state/book.py
@@ -169,7 +169,7 @@
         """The next step of the second lane."""
         if self._busy["chore"] is not None:
             return None
-        if self.ailing and (self._heal_at is None or now < self._heal_at):
+        if self.ailing and not self._healing and self._heal_at is not None and now < self._heal_at:
             return None
         if self._chores is None and self._wants_snapshot():
             self._chores = self._snapshot()
@@ -261,14 +261,12 @@
 
     def failed(self, lane: str, text: str, now: int) -> None:
         """The lane's step failed. What it was to write counts as lost, and its file as unknown."""
-        step, self._busy[lane] = self._busy[lane], None
+        self._busy[lane] = None
         self.tally.failures += 1
         if lane == "chore":
             self._chores = None
-            if isinstance(step, Remove):
-                return  # a file too many harms nobody; the next snapshot removes it
             if not self._healing:
-                return  # the journal goes on; the snapshot is tried again when due
+                return  # the journal goes on; the snapshot, or the removal, is tried again when one is due
         self._name, self._healing = "", 0
         self._waiting.clear()  # `state` has it all, and the snapshot will
         self.ailing = text or "failed"
--- a/copperyard/state/frames.py
+++ b/copperyard/state/frames.py
@@ -1,12 +1,13 @@
 """How facts lie in files: segments of records, and snapshots. Pure bytes.
 
     segment   MAGIC_S | major u8 | minor u8 | number u64 | first sequence u64 | check u64 | records
-    record    length u32 | sequence u64 | check u64 | payload
+    record    length u32 | sequence u64 | check u64 | payload | END
     snapshot  MAGIC_P | major u8 | minor u8 | 0 u64 | last sequence u64 | check u64 | records | trailer
     trailer   MAGIC_E | count of records u64 | check u64
 
 All numbers are little endian. A check is XXH3-64 over what stands before it in its header, and for a record over its
-sequence and payload: a record that was copied to another place, or whose length was hit, does not pass. Sequences run
+sequence and payload: a record that was copied to another place, or whose length was hit, does not pass. END tells a
+write that was torn (the file grew, its bytes did not come) from a whole one that was damaged later. Sequences run
 without a gap over all segments, so a segment that is missing or doubled shows. A snapshot without its trailer is
 unfinished and counts for nothing. Its records number from 1.
 """
@@ -27,9 +28,10 @@
 _CHECK = struct.Struct("<Q")
 _RECORD = struct.Struct("<IQQ")
 _TAIL = struct.Struct("<4sQ")
+END = b"\xa5"
 TAIL_SIZE = _TAIL.size + _CHECK.size
 HEAD_SIZE = _HEAD.size + _CHECK.size
-RECORD_SIZE = _RECORD.size
+RECORD_SIZE = _RECORD.size + len(END)  # of an empty payload
 
 
 class BadFrame(ValueError):
@@ -81,7 +83,7 @@
     if len(payload) > MAX_RECORD:
         raise ValueError(f"a record of {len(payload)} bytes: at most {MAX_RECORD} are kept")
     number = sequence.to_bytes(8, "little")
-    return _RECORD.pack(len(payload), sequence, _sum(number, payload)) + payload
+    return _RECORD.pack(len(payload), sequence, _sum(number, payload)) + payload + END
 
 
 def snapshot_head(last: int) -> bytes:
@@ -118,8 +120,8 @@
             yield f"{size - offset} bytes at {offset} are less than a record's header"
             return
         length, sequence, check = _RECORD.unpack_from(data, offset)
-        begin = offset + RECORD_SIZE
-        if length > MAX_RECORD or begin + length > size:
+        begin = offset + _RECORD.size
+        if length > MAX_RECORD or begin + length + len(END) > size:
             yield f"the record at {offset} claims {length} bytes, {size - begin} follow"
             return
         payload = bytes(view[begin:begin + length])
@@ -127,7 +129,7 @@
             yield f"the check of the record at {offset} does not hold"
             return
         yield Record(offset, sequence, payload)
-        offset = begin + length
+        offset = begin + length + len(END)
 
 
 def whole_after(data: bytes, offset: int, beyond: int) -> int | None:
@@ -136,7 +138,7 @@
     # a wrong guess passes a 64-bit check once in 10^19: no need to look for neighbours
     for at in range(offset + 1, min(offset + LOOK, len(data) - RECORD_SIZE + 1)):
         length, sequence, check = _RECORD.unpack_from(data, at)
-        begin = at + RECORD_SIZE
+        begin = at + _RECORD.size
         if beyond < sequence < beyond + (1 << 32) and begin + length <= len(data) and length <= MAX_RECORD \
                 and _sum(data[at + 4:at + 12], data[begin:begin + length]) == check:
             return int(sequence)
--- a/copperyard/state/recovery.py
+++ b/copperyard/state/recovery.py
@@ -13,6 +13,7 @@
 
 from .facts import BadFact, decode
 from .frames import (
+    END,
     HEAD_SIZE,
     MAGIC_P,
     MAGIC_S,
@@ -166,15 +167,14 @@
 
 def _unreadable(found: Recovery, name: str, data: bytes, end: int, text: str, last: bool) -> None:
     """Bytes that do not read. In the last segment they are the torn end of a write that never was acknowledged, if they
-    look like one: cut off, or zeros from some point on. A whole record behind them, or a record of full length that
-    fails its check, is damage to what was there."""
+    look like one: cut off, or without the end that each record has. A whole record behind them, or a record of full
+    length and with its end that fails its check, is damage to what was there."""
     if not last:
         found.dropped.append(Dropped(name, text, False))  # the next segment's first sequence tells whether it matters
         return
     end = end or HEAD_SIZE
-    cut = "claims" in text or "less than" in text
-    zeros = not any(data[-16:])
+    torn = "claims" in text or "less than" in text or not data.endswith(END)
     behind = whole_after(data, end, found.sequence)
     if behind is not None:
         text += f", though record {behind} behind it is whole"
-    found.dropped.append(Dropped(name, text, behind is not None or not (cut or zeros)))
+    found.dropped.append(Dropped(name, text, behind is not None or not torn))
