--- a/copperyard/lab/rehearsal.py
+++ b/copperyard/lab/rehearsal.py
@@ -132,9 +132,9 @@
         mistakes.append(_wrong(element, f"rack '{a['rack']}' is not under {site.rules.settings.racks}"))
     if kind in ("zone-cut", "zone-loss") and "zone" not in a:
         mistakes.append(_wrong(element, f"{kind} names no zone"))
-    if kind.startswith("gateway") and not gateways and "share" not in a:
+    if kind.startswith(("gateway", "disk", "power")) and not gateways and "share" not in a:
         mistakes.append(_wrong(element, f"{kind} names no gateways and no share of them"))
-    if not kind.startswith(("gateway", "zone", "list", "uplink")) and not (
+    if not kind.startswith(("gateway", "zone", "list", "uplink", "disk", "power")) and not (
             hosts or {"share", "rack", "zone"} & set(a)):
         mistakes.append(_wrong(element, f"{kind} names no host: hosts, share, rack or zone is wanted"))
     if last <= 0:
--- a/copperyard/lab/strikes.py
+++ b/copperyard/lab/strikes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -189,6 +190,36 @@
     fleet.lists.fail(False)
 
 
+async def _disk_pause(fleet: Fleet, strike: Strike, rng: random.Random, until: float) -> None:
+    disks = [fleet.disks[g.name] for g in gateways_of(fleet, strike.whom, rng) if g.name in fleet.disks]
+    for disk in disks:
+        disk.pause = strike.hard
+    await trio.sleep_until(until)
+    for disk in disks:
+        disk.pause = 0.0
+
+
+async def _disk_error(fleet: Fleet, strike: Strike, rng: random.Random, until: float) -> None:
+    disks = [fleet.disks[g.name] for g in gateways_of(fleet, strike.whom, rng) if g.name in fleet.disks]
+    for disk in disks:
+        disk.error = errno.EIO
+    await trio.sleep_until(until)
+    for disk in disks:
+        disk.error = None
+
+
+async def _power_cut(fleet: Fleet, strike: Strike, rng: random.Random, until: float) -> None:
+    """The machine of a gateway goes down, and with it what its disk had not synced."""
+    for one in gateways_of(fleet, strike.whom, rng):
+        if one.gateway is not None:
+            fleet.kill_gateway(one)
+            if one.name in fleet.disks:
+                fleet.disks[one.name].power_cut()
+    await trio.sleep_until(until)
+    for one in gateways_of(fleet, strike.whom, rng):
+        await fleet.start_gateway(one)
+
+
 Kind = Callable[[Fleet, Strike, random.Random, float], Awaitable[None]]
 KINDS: dict[str, Kind] = {
     "answers-lost": _held("lose_answers", False, lambda s: s.hard, 0.0),
@@ -202,9 +233,10 @@
     "crash": _crash, "zone-loss": _zone_loss, "vanish": _vanish, "hang": _hang, "replace": _replace,
     "drain": _drain, "gateway-crash": _gateway_crash, "gateway-stall": _gateway_stall, "uplink-weak": _uplink,
     "zone-cut": _zone_cut, "list-down": _list_down,
+    "disk-pause": _disk_pause, "disk-error": _disk_error, "power-cut": _power_cut,
 }
 # what `hard` is where it is not given: a share, a multiple, or seconds, by kind
 USUAL = {"answers-lost": 1.0, "errors": 0.8, "neighbour": 0.5, "slow-origin": 5.0, "links-weak": 2.5,
-         "reports-late": 3.0, "uplink-weak": 2.0}
+         "reports-late": 3.0, "disk-pause": 2.0, "uplink-weak": 2.0}
 SHARES = ("answers-lost", "errors", "neighbour")
 """Kinds whose `hard` is a share, and so at most 1."""
--- a/copperyard/lab/world.py
+++ b/copperyard/lab/world.py
@@ -22,6 +22,7 @@
 from .run import MS, Result, run_rehearsal
 from .strikes import KINDS, SHARES, USUAL, Strike, Whom
 
+ON_DISKS = ("disk-pause", "disk-error", "power-cut")
 TRACKS = ('<track kind="video" payload-type="26" codec="JPEG" clock="90000"/>'
           '<track kind="audio" payload-type="0" codec="PCMU" clock="8000"/>')
 
@@ -48,7 +49,7 @@
     racks = rng.randint(1, min(3, hosts))
     settings = _settings(rng, hosts, gateways, zones, racks)
     seconds = rng.uniform(5, 10)
-    swarm = [kind for kind in KINDS if rng.random() < 0.5]
+    swarm = [kind for kind in KINDS if kind not in ON_DISKS and rng.random() < 0.5]
     strikes = tuple(_strike(rng, kind, seconds, hosts, gateways, zones)
                     for kind in rng.choices(swarm, k=rng.randint(0, 6)) if swarm) if swarm else ()
     crowds = (Crowd(rng.uniform(0, seconds - 1), 0.5, rng.randint(5, 25), "/f/0", rng.choice((0.0, 0.5, 1.0))),) \
@@ -59,9 +60,25 @@
     manners = Manners(latency=(0.0002, rng.choice((0.001, 0.005, 0.02))), chop=rng.choice((0.0, 0.2, 0.6)) * rough,
                       window=rng.choice((2000, 16_384, 65_536)), hang=rng.choice((0.0, 0.0, 0.05)) * rough,
                       reset=rng.choice((0.0, 0.0, 0.06)) * rough, connect=rng.choice((0.0, 0.0, 0.1)) * rough)
+    settings, more = _state(random.Random(f"state of {seed}"), settings, seconds)
+    strikes += more
     return Scenario(seed, settings, Rehearsal(f"seed-{seed}", "drawn", seconds, load, crowds, strikes), manners)
 
 
+def _state(rng: random.Random, settings: str, seconds: float) -> tuple[str, tuple[Strike, ...]]:
+    """Whether gateways keep state, and what befalls it. Drawn from a source of its own, so that all else of a seed
+    stays what it was."""
+    if rng.random() < 0.5:
+        return settings, ()
+    strikes = []
+    for kind in ON_DISKS:
+        if rng.random() < 0.4:
+            at = rng.uniform(0.2, seconds - 0.5)
+            strikes.append(Strike(kind, at, at + rng.uniform(0.2, 3.0), Whom(share=rng.choice((0.3, 1.0))),
+                                  rng.choice((0.05, 0.4, 2.0)) if kind == "disk-pause" else 1.0))
+    return settings.replace("<titles>", '<state folder="state"/><titles>'), tuple(strikes)
+
+
 def _settings(rng: random.Random, hosts: int, gateways: int, zones: int, racks: int) -> str:
     rungs = rng.randint(2, 5)
     floor = rng.randrange(rungs)
