--- a/copperyard/control/plays.py
+++ b/copperyard/control/plays.py
@@ -469,18 +469,17 @@
             self.cleared_up(now, code, receipt if answer is Answer.REDEEMED else None)
         self.settle_timer(now)
 
-    def _expire(self, now: int) -> None:
-        """Forget codes that no office takes any more, a bounded number at a time."""
+    def expire(self, now: int) -> int:
+        """Forget codes that no office takes any more, a bounded number at a time; when to go on. A background job."""
         before = self.memory.at(now) - self.rules.bounds.code_life
         found = self.memory.state.expire(before, EXPIRE_MOST)
         self.codes.forget(found)
         for code in found:
             self.settler.drop(code)
-        self.timers.set(("expire", 0), now + (SECOND if len(found) == EXPIRE_MOST else EXPIRE_EVERY))
+        return now if len(found) == EXPIRE_MOST else now + EXPIRE_EVERY
 
     def restore(self, now: int) -> None:
         """Take over what the journal holds of an earlier life."""
-        self.timers.set(("expire", 0), now + EXPIRE_EVERY)
         state = self.memory.state
         self.codes.restore(state.codes)
         for code, kept in state.unclear().items():
@@ -675,8 +674,6 @@
             return
         if kind == "settle":
             return self._ask_hosts(now)
-        if kind == "expire":
-            return self._expire(now)
         if kind == "store":
             return self._store_late(now, number)
         play = self.plays.get(number)
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -16,11 +16,13 @@
 from ..control.memory import STORE_WAIT
 from ..control.orders import Ask, Flush, Follow, Hangup, Line, Settle, Start, Stop, Wrote
 from ..control.rules import FrontRules
+from ..control.scheduler import Priority, Scheduler
 from ..control.settling import SETTLE_HEADER, SETTLED_HEADER
 from ..control.visits import Visitor
 from ..interface import Code
 from ..state.book import Book
 from ..state.recovery import recover
+from .background import Background
 from .disk import Disk
 from .listing import Follower, ListPlace
 from .net import Listener, Network, Signal, Stream, at, now
@@ -74,6 +76,7 @@
         self._following: trio.CancelScope | None = None
         self._follower: Follower | None = None
         self._store: Store | None = None
+        self.background = Background(Scheduler())
         self._written = -1
         self._ailing = ""
         self._timer = Signal()
@@ -92,6 +95,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
+                nursery.start_soon(self.background.run)
                 if self._store is not None:
                     nursery.start_soon(self._store.run)
                 self.address = listener.address
@@ -130,7 +134,8 @@
         down = disk.wall() - touched if touched is not None else 0
         book = Book(found, core.label, self.station.generation, now(), down)
         core.remember(now(), book, spent)
-        self._store = Store(book, disk, self._stored)
+        self._store = Store(book, disk, self.background, self._stored)
+        self.background.add("expiry", Priority.IDLE, core.plays.expire, now())
 
     def _let_go(self) -> None:
         if self._store is not None and self.station.disk is not None:
--- a/copperyard/state/book.py
+++ b/copperyard/state/book.py
@@ -165,11 +165,17 @@
         self._busy["commit"] = step
         return step
 
-    def chore(self, now: int) -> Step | None:
-        """The next step of the second lane."""
+    def wants_chore(self, now: int) -> bool:
+        """Whether the second lane may have a step to give."""
         if self._busy["chore"] is not None:
-            return None
+            return False
         if self.ailing and not self._healing and self._heal_at is not None and now < self._heal_at:
+            return False
+        return self._chores is not None or bool(self._old) or self._wants_snapshot()
+
+    def chore(self, now: int) -> Step | None:
+        """The next step of the second lane. Making it may take a millisecond: this is background work."""
+        if not self.wants_chore(now):
             return None
         if self._chores is None and self._wants_snapshot():
             self._chores = self._snapshot()
