--- a/copperyard/cli/main.py
+++ b/copperyard/cli/main.py
@@ -19,9 +19,11 @@
 from ..telemetry.logs import Logs
 from .common import Form, Settings, seconds, site_of, until_told
 from .lab import lab
+from .state import state
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A session front for streamed video.")
 app.add_typer(lab, name="lab")
+app.add_typer(state, name="state")
 
 @app.command()
 def check(path: Settings) -> None:
--- /dev/null
+++ b/copperyard/cli/state.py
@@ -0,0 +1,169 @@
+"""`copperyard state`: look at what a gateway keeps on disk, also at the files of a dead one. Only `compact` writes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import trio
+import typer
+
+from ..gateway.disk import FolderDisk, LockedError
+from ..state.book import Book
+from ..state.ledger import State
+from ..state.recovery import Recovery, recover
+
+state = typer.Typer(no_args_is_help=True, help="What a gateway keeps on disk: its codes, its last list.")
+Folder = Annotated[Path, typer.Argument(help="The gateway's own folder of state.", metavar="FOLDER")]
+
+
+def _recovered(folder: Path) -> Recovery:
+    if not folder.is_dir():
+        typer.echo(f"{folder}: no folder", err=True)
+        raise typer.Exit(2)
+    disk = FolderDisk(folder)
+    try:
+        return recover(disk.names(), disk.read)
+    except OSError as error:
+        typer.echo(f"{folder}: {error}", err=True)
+        raise typer.Exit(2) from None
+
+
+def _summary(found: Recovery) -> dict[str, Any]:
+    kept = found.state
+    body = json.loads(kept.body) if kept.body else {}
+    return {
+        "codes": len(kept.codes), "unclear": len(kept.unclear()), "lives": kept.lives, "label": kept.label,
+        "settings": kept.generation, "planned_end": kept.ended, "service_s": round(kept.reached / 1e9, 3),
+        "list_generation": body.get("generation"), "hosts": len(body.get("hosts", [])),
+        "snapshot": found.snapshot or None, "replayed": found.replayed, "sequence": found.sequence,
+        "files": [name for name in found.files if name != "lock"]}
+
+
+@state.command()
+def show(folder: Folder) -> None:
+    """Print what the state comes to, as JSON."""
+    found = _recovered(folder)
+    typer.echo(json.dumps(_summary(found), indent=2))
+    if found.newer:
+        raise typer.Exit(1)
+
+
+@state.command()
+def verify(folder: Folder) -> None:
+    """Read all of it; a line for whatever was not used. Exit 1 where a gateway would not start on it."""
+    found = _recovered(folder)
+    for one in found.dropped:
+        typer.echo(f"{one.name}: {one.text}{' (facts may be missing)' if one.harm else ' (no harm)'}")
+    refusal = found.refusal(False)
+    typer.echo(f"{folder}: {found.replayed} records over {found.snapshot or 'no snapshot'}, "
+               f"{len(found.state.codes)} codes: {'good' if refusal is None else 'not to be started on'}")
+    if refusal is not None:
+        raise typer.Exit(1)
+
+
+@state.command()
+def compact(folder: Folder) -> None:
+    """Write a snapshot and remove what it stands for. Refused while a gateway runs on the folder, and on damage."""
+    disk = FolderDisk(folder)
+    if not folder.is_dir():
+        typer.echo(f"{folder}: no folder", err=True)
+        raise typer.Exit(2)
+    try:
+        disk.lock("copperyard state compact")
+    except LockedError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from None
+    try:
+        found = _recovered(folder)
+        refusal = found.refusal(False)
+        if refusal is not None:
+            typer.echo(f"{folder}: {refusal}", err=True)
+            raise typer.Exit(1)
+        before = _size(folder)
+        trio.run(_compact, found, disk)
+        typer.echo(f"{folder}: {before} bytes before, {_size(folder)} now")
+    except OSError as error:
+        typer.echo(f"{folder}: {error}", err=True)
+        raise typer.Exit(1) from None
+    finally:
+        disk.close()
+
+
+def _size(folder: Path) -> int:
+    return sum(path.stat().st_size for path in folder.iterdir() if path.is_file())
+
+
+async def _compact(found: Recovery, disk: FolderDisk) -> None:
+    """Carry out the steps of a snapshot."""
+    book = Book(found, found.state.label, found.state.generation, 0, 0, begins=False)
+    book.compact()
+    for lane, step in _steps(book):
+        await disk.do(step)
+        book.done(lane, 0)
+
+
+def _steps(book: Book) -> Iterator[tuple[str, Any]]:
+    while True:
+        step = book.commit(0)
+        if step is not None:
+            yield "commit", step
+            continue
+        step = book.chore(0)
+        if step is None:
+            return
+        yield "chore", step
+
+
+@state.command()
+def export(folder: Folder, out: Annotated[Path, typer.Argument(help="A file .jsonl or .parquet; it must not exist.")]
+           ) -> None:
+    """Write a row for each code: its digest, fate, receipt, request, host, service time in s."""
+    if out.suffix not in (".jsonl", ".parquet"):
+        typer.echo(f"{out}: neither .jsonl nor .parquet", err=True)
+        raise typer.Exit(2)
+    rows = _rows(_recovered(folder).state)
+    try:
+        if out.suffix == ".jsonl":
+            with open(out, "x", encoding="utf-8") as target:
+                count = sum(1 for row in rows if target.write(json.dumps(row) + "\n"))
+        else:
+            count = _parquet(out, rows)
+    except OSError as error:
+        typer.echo(f"{out}: {error.strerror or error}", err=True)
+        raise typer.Exit(1) from None
+    typer.echo(f"{out}: {count} codes")
+
+
+def _rows(kept: State) -> Iterator[dict[str, Any]]:
+    for code, one in kept.codes.items():
+        fate = "unclear" if one.receipt is None else "redeemed"
+        yield {"code": code.hex(), "fate": fate, "receipt": one.receipt, "request": one.request, "host": one.host,
+               "service_s": one.at / 1e9}
+
+
+def _parquet(out: Path, rows: Iterator[dict[str, Any]]) -> int:
+    try:
+        import pyarrow
+        import pyarrow.parquet
+    except ImportError:
+        typer.echo("Parquet needs the extra 'lab' (pyarrow)", err=True)
+        raise typer.Exit(2) from None
+    if out.exists():
+        raise FileExistsError(17, "exists")
+    text = pyarrow.string()
+    schema = pyarrow.schema([("code", text), ("fate", text), ("receipt", text), ("request", text), ("host", text),
+                             ("service_s", pyarrow.float64())])
+    count, most = 0, 50_000
+    with pyarrow.parquet.ParquetWriter(out, schema) as writer:
+        batch: list[dict[str, Any]] = []
+        for row in rows:
+            batch.append(row)
+            count += 1
+            if len(batch) == most:
+                writer.write_table(pyarrow.Table.from_pylist(batch, schema))
+                batch.clear()
+        writer.write_table(pyarrow.Table.from_pylist(batch, schema))
+    return count
--- a/copperyard/state/book.py
+++ b/copperyard/state/book.py
@@ -78,9 +78,10 @@
 
 class Book:
     """The journal of one life. `now` is the loop's clock in ns, `down` how long the state was out of service by the
-    machine's date."""
+    machine's date. With `begins` a new life begins; without it the files are only put in order."""
 
-    def __init__(self, found: Recovery, label: str, generation: str, now: int, down: int) -> None:
+    def __init__(self, found: Recovery, label: str, generation: str, now: int, down: int,
+                 begins: bool = True) -> None:
         self.state = found.state
         self.clock = ServiceClock(found.state.reached, down, now)
         self.tally = Tally()
@@ -101,7 +102,8 @@
         self._healing = 0  # the sequence that a snapshot must hold for the book to be well again
         self._closing = False
         self._last_passed = now
-        self.write(now, Began(self.clock.at(now), label, generation))
+        if begins:
+            self.write(now, Began(self.clock.at(now), label, generation, found.state.lives + 1))
 
     # ---- facts
 
--- a/copperyard/state/facts.py
+++ b/copperyard/state/facts.py
@@ -29,11 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Began:
-    """A process took this state over. `label` is the front's name in this life, `generation` names its settings."""
+    """A process took this state over, as life number `life`. `label` is the front's name in it, `generation` names its
+    settings."""
 
     at: int
     label: str
     generation: str
+    life: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/copperyard/state/ledger.py
+++ b/copperyard/state/ledger.py
@@ -51,7 +51,7 @@
             self.body = fact.body
         elif isinstance(fact, Began):
             self.label, self.generation, self.ended, self.spent = fact.label, fact.generation, False, ()
-            self.lives += 1
+            self.lives = max(self.lives, fact.life)
         elif isinstance(fact, Ended):
             self.ended, self.spent = True, fact.spent
         else:
@@ -77,7 +77,7 @@
     def facts(self) -> Iterator[Fact]:
         """Facts that make up this state. Codes may come and go between two of them; see above."""
         if self.lives:
-            yield Began(0, self.label, self.generation)
+            yield Began(0, self.label, self.generation, self.lives)
         if self.body:
             yield Listed(0, self.body)
         for code in list(self.codes):
--- a/tests/state/test_recovery.py
+++ b/tests/state/test_recovery.py
@@ -13,7 +13,7 @@
 from copperyard.state.recovery import recover
 
 A, B, C = digest("A"), digest("B"), digest("C")
-LIFE = [Began(1, "gw.1", "g"), Carried(2, A, "gw.1/1", "h0"), Redeemed(3, A, "r-A"), Carried(4, B, "gw.1/2", "h1"),
+LIFE = [Began(1, "gw.1", "g", 1), Carried(2, A, "gw.1/1", "h0"), Redeemed(3, A, "r-A"), Carried(4, B, "gw.1/2", "h1"),
         Carried(5, C, "gw.1/3", "h1"), Cleared(6, C)]
 
 
@@ -48,7 +48,7 @@
     assert found({"lock": b"", "notes.txt": b"x", "journal-1.seg": b"no name of ours"}).refusal(False) is None
 
 
-@given(st.sampled_from([Began(0, "l", "g"), Carried(1 << 60, A, "r" * 99, ""), Redeemed(0, B, "ü"), Cleared(3, C),
+@given(st.sampled_from([Began(0, "l", "g", 3), Carried(1 << 60, A, "r" * 99, ""), Redeemed(0, B, "ü"), Cleared(3, C),
                         Listed(1, b"\x00" * 5000), Ended(2, (1, 2, 3)), Passed(9)]))
 def test_a_fact_is_what_its_bytes_say(fact):
     assert facts.decode(facts.encode(fact)) == fact
