--- /dev/null
+++ b/benchmarks/state.py
@@ -0,0 +1,312 @@
+"""What durable state costs: commits, paid set-ups, recovery, the index of codes. All figures of one run, on a real
+folder.
+
+    python -m benchmarks.state [commits|paid|recovery|index|all] [--folder DIR] [--most RECORDS]
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import os
+import platform
+import random
+import shutil
+import sqlite3
+import statistics
+import tempfile
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+
+from benchmarks.gateway import Host, lists, one_host_site, resident, tell
+from copperyard.control.scheduler import Scheduler
+from copperyard.gateway.background import Background
+from copperyard.gateway.daemon import Gateway, Station
+from copperyard.gateway.disk import FolderDisk
+from copperyard.gateway.listing import list_place
+from copperyard.gateway.net import Signal, TcpNetwork, now
+from copperyard.gateway.store import Store
+from copperyard.lab.audit import Side
+from copperyard.lab.viewers import Client
+from copperyard.state import frames
+from copperyard.state.book import Append, Book, Step
+from copperyard.state.facts import Carried, Redeemed, digest, encode
+from copperyard.state.ledger import State
+from copperyard.state.recovery import Recovery, recover
+
+SESSIONS, EACH = 32, 40  # writers at once, facts that each writes one after another
+
+
+def cuts(took: list[float]) -> dict[str, float]:
+    parts = statistics.quantiles(took, n=100)
+    return {"p50_ms": round(parts[49] * 1e3, 2), "p99_ms": round(parts[98] * 1e3, 2)}
+
+
+def fact(n: int) -> Carried:
+    return Carried(n, digest(str(n)), f"gw-1.5b3ce9b3/{n}", "streamer-07")
+
+
+async def crowd(name: str, one: Callable[[int], Awaitable[None]], **more: object) -> None:
+    """SESSIONS tasks, each making EACH facts durable one after another; what that came to."""
+    took: list[float] = []
+
+    async def session(k: int) -> None:
+        for n in range(EACH):
+            begun = time.perf_counter()
+            await one(k * EACH + n)
+            took.append(time.perf_counter() - begun)
+
+    begun = time.perf_counter()
+    async with trio.open_nursery() as nursery:
+        for k in range(SESSIONS):
+            nursery.start_soon(session, k)
+    tell(name, facts=len(took), a_second=round(len(took) / (time.perf_counter() - begun)), **cuts(took), **more)
+
+
+async def commits(folder: Path) -> None:
+    """Group commit, a sync for each fact, and SQLite in WAL mode both ways."""
+    async with trio.open_nursery() as nursery:
+        disk = FolderDisk(folder / "book")
+        disk.lock("a measurement")
+        book = Book(Recovery(), "gw", "g", now(), 0)
+        waiting: deque[tuple[int, trio.Event]] = deque()
+
+        def stored() -> None:
+            while waiting and book.durable(waiting[0][0]):
+                waiting.popleft()[1].set()
+
+        background = Background(Scheduler())
+        store = Store(book, disk, background, stored)
+
+        async def through_book(n: int) -> None:
+            done = trio.Event()
+            waiting.append((book.write(now(), fact(n)), done))
+            store.look()
+            await done.wait()
+
+        for task in (background.run, store.run):
+            nursery.start_soon(task)
+        await crowd("group commit", through_book)
+        tell("group commit", syncs=book.tally.commits, bytes_a_fact=round(book.tally.bytes / book.tally.facts))
+        nursery.cancel_scope.cancel()
+    disk.close()
+
+    single = FolderDisk(folder / "single")
+    single.lock("a measurement")
+    one_at_a_time = trio.Lock()
+    from copperyard.state.book import Create
+    await single.do(Create("a.seg", frames.segment_head(1, 1)))
+
+    async def each_synced(n: int) -> None:
+        async with one_at_a_time:
+            await single.do(Append("a.seg", frames.record(n + 1, encode(fact(n)))))
+
+    await crowd("one sync each", each_synced)
+    single.close()
+    await sqlite(folder / "each.db", False)
+    await sqlite(folder / "grouped.db", True)
+
+
+async def sqlite(path: Path, grouped: bool) -> None:
+    base = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+    base.execute("pragma journal_mode=wal")
+    base.execute("pragma synchronous=full")
+    base.execute("create table codes (code blob primary key, at integer, request text, host text) without rowid")
+    waiting: list[tuple[Carried, trio.Event]] = []
+    wake, lock = Signal(), trio.Lock()
+
+    def write(some: list[Carried]) -> None:
+        base.execute("begin")
+        base.executemany("insert or replace into codes values (?, ?, ?, ?)",
+                         [(f.code, f.at, f.request, f.host) for f in some])
+        base.execute("commit")
+
+    async def each(n: int) -> None:
+        async with lock:
+            await trio.to_thread.run_sync(write, [fact(n)])
+
+    async def group(n: int) -> None:
+        done = trio.Event()
+        waiting.append((fact(n), done))
+        wake.set()
+        await done.wait()
+
+    async def writer() -> None:
+        while True:
+            await wake.wait()
+            while waiting:
+                some = waiting[:]
+                waiting.clear()
+                await trio.to_thread.run_sync(write, [f for f, _ in some])
+                for _, done in some:
+                    done.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer)
+        await crowd("sqlite, grouped" if grouped else "sqlite, a transaction each", group if grouped else each)
+        nursery.cancel_scope.cancel()
+    base.close()
+
+
+class SlowDisk(FolderDisk):
+    """A folder whose every tenth step takes 100 ms more."""
+
+    steps = 0
+
+    async def do(self, step: Step) -> None:
+        self.steps += 1
+        if self.steps % 10 == 0:
+            await trio.sleep(0.1)
+        await super().do(step)
+
+
+class PaidHost(Host):
+    """Redeems whatever it is asked to."""
+
+    async def _answer(self, stream, request, nursery):  # type: ignore[no-untyped-def]
+        if request.method == "SETUP" and request.header("Redeem"):
+            from copperyard.protocol.rtsp import Connection, Response
+            data = Connection.answer(request, Response(200, (
+                ("Session", "s;timeout=60"), ("Transport", request.header("Transport") or ""), ("Receipt", "r"))))
+            while data:
+                data = data[await stream.send_some(data):]
+            return
+        await super()._answer(stream, request, nursery)
+
+
+async def paid(folder: Path) -> None:
+    """Paid set-ups, one after another, through gateways without state, with it, and with a disk that pauses; in
+    turn, so that the machine's drift meets all alike."""
+    found: dict[str, list[float]] = {"off": [], "on": [], "pausing": []}
+    for turn in range(3):
+        for name, disk in (("off", None), ("on", FolderDisk(folder / f"on{turn}")),
+                           ("pausing", SlowDisk(folder / f"slow{turn}"))):
+            await _paid(disk, 150, found[name])
+    for name, took in found.items():
+        tell("paid set-ups", journal=name, count=len(took), **cuts(took))
+
+
+async def _paid(disk: FolderDisk | None, count: int, took: list[float]) -> None:
+    site, host = one_host_site(), PaidHost()
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(host.run)
+        place = list_place(f"http://{await nursery.start(lists, address)}/", 3600 * 10**9, 7200 * 10**9)
+        station = replace(Station("gw", "127.0.0.1:0", site.rules, site.catalogue(), site.zones, place), disk=disk)
+        gateway = Gateway(station, TcpNetwork(), 1, random.Random(1), lambda event, fields: None)
+        where = await nursery.start(gateway.run)
+        while not gateway.core.roster.addresses:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+        for n in range(count):
+            stream = await TcpNetwork().connect(where)
+            client, url = Client(stream, Side("x")), f"rtsp://{where}/classes/{n % 8 + 1}"
+            query = f"?code=c{n}x{len(took)}"
+            answer = await client.call("SETUP", f"{url}/track1{query}", (
+                ("Transport", "RTP/AVP/TCP;unicast;interleaved=0-1"),))
+            session = (answer.header("Session") or "").split(";")[0]
+            begun = time.perf_counter()
+            played = await client.call("PLAY", url + query, (("Session", session),))
+            took.append(time.perf_counter() - begun)
+            if played.status != 200:
+                raise SystemExit(f"a PLAY was answered {played.status}")
+            stream.close()
+        nursery.cancel_scope.cancel()
+
+
+async def recovery(folder: Path, most: int) -> None:
+    """Time and memory from files to state: as many records as given, a tenth of them codes that are kept."""
+    size = 10_000
+    while size <= most:
+        path = folder / f"recovery{size}"
+        path.mkdir()
+        _fill(path, size)
+        for name in ("journal", "snapshot"):
+            disk = FolderDisk(path)
+            gc.collect()
+            before, begun = resident(), time.perf_counter()
+            found = recover(disk.names(), disk.read)
+            taken = time.perf_counter() - begun
+            tell("recovery", records=size, of=name, seconds=round(taken, 3), codes=len(found.state.codes),
+                 us_a_record=round(taken / size * 1e6, 2), mb=round((resident() - before) / 2**20),
+                 bytes=sum(p.stat().st_size for p in path.iterdir()))
+            if name == "journal":
+                await _snapshot(found, disk)
+            disk.close()
+            del found
+        shutil.rmtree(path)
+        size *= 10
+
+
+def _fill(path: Path, size: int) -> None:
+    number, sequence, data = 1, 1, bytearray(frames.segment_head(1, 1))
+    for n in range(size):
+        code = n // 2 % max(1, size // 10)
+        one = fact(code) if n % 2 == 0 else Redeemed(n, digest(str(code)), f"receipt-{code}")
+        data += frames.record(sequence, encode(one))
+        sequence += 1
+        if len(data) > 8 << 20 or n == size - 1:
+            (path / frames.segment_name(number)).write_bytes(data)
+            number += 1
+            data = bytearray(frames.segment_head(number, sequence))
+
+
+async def _snapshot(found: Recovery, disk: FolderDisk) -> None:
+    book = Book(found, "gw", "g", 0, 0, begins=False)
+    book.compact()
+    while (step := book.commit(0) or book.chore(0)) is not None:
+        lane = "commit" if book._busy["commit"] is step else "chore"
+        await disk.do(step)
+        book.done(lane, 0)
+
+
+async def index(folder: Path) -> None:
+    """The order of codes by age: a dict whose entries move to its end, against a plain dict with a heap beside it."""
+    count, rng = 300_000, random.Random(1)
+    keys = [digest(str(n)) for n in range(count)]
+    touched = [keys[rng.randrange(count)] for _ in range(count)]
+    for _ in range(2):  # the first round warms up
+        state = State()
+        begun = time.perf_counter()
+        for n, key in enumerate([*keys, *touched]):
+            state.apply(Redeemed(n, key, "r"))
+        filled = time.perf_counter() - begun
+        begun = time.perf_counter()
+        while state.expire(count, 2000):
+            pass
+        moved = (filled, time.perf_counter() - begun)
+        begun = time.perf_counter()
+        plain: dict[bytes, tuple[int, str]] = {}
+        heap: list[tuple[int, bytes]] = []
+        for n, key in enumerate([*keys, *touched]):
+            one = Redeemed(n, key, "r")
+            plain[one.code] = (one.at, one.receipt)
+            heapq.heappush(heap, (n, key))
+        filled = time.perf_counter() - begun
+        begun = time.perf_counter()
+        while heap and heap[0][0] < count:
+            at, key = heapq.heappop(heap)
+            if key in plain and plain[key][0] == at:
+                del plain[key]
+        heaped = (filled, time.perf_counter() - begun)
+    tell("index", codes=count, moved_fill_s=round(moved[0], 3), heap_fill_s=round(heaped[0], 3),
+         moved_expire_s=round(moved[1], 3), heap_expire_s=round(heaped[1], 3))
+
+
+def main(what: Annotated[str, typer.Argument()] = "all", folder: Path | None = None, most: int = 1_000_000) -> None:
+    """Measure; `most` is the largest journal for recovery."""
+    benches: dict[str, Callable[[Path], Awaitable[None]]] = {
+        "commits": commits, "paid": paid, "recovery": lambda path: recovery(path, most), "index": index}
+    tell("machine", cores=os.cpu_count(), python=platform.python_version(), sqlite=sqlite3.sqlite_version)
+    for name in benches if what == "all" else (what,):
+        with tempfile.TemporaryDirectory(dir=folder) as place:
+            trio.run(benches[name], Path(place))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/copperyard/state/facts.py
+++ b/copperyard/state/facts.py
@@ -95,6 +95,9 @@
                                           7: Passed}
 _NUMBERS: dict[Callable[..., Fact], int] = {kind: number for number, kind in _KINDS.items()}
 _TYPES: dict[str, type] = {"int": int, "str": str, "bytes": bytes, "tuple[int, ...]": list}
+_SHAPES: dict[int, tuple[Callable[..., Fact], tuple[type, ...]]] = {
+    number: (kind, tuple(_TYPES[str(one.type)] for one in fields(kind)))  # type: ignore[arg-type]
+    for number, kind in _KINDS.items()}
 
 
 def digest(code: str) -> bytes:
@@ -117,16 +120,24 @@
         raise BadFact(f"not MessagePack: {error}") from None
     if not isinstance(raw, list) or not raw or isinstance(raw[0], bool) or not isinstance(raw[0], int):
         raise BadFact("no array that begins with a kind")
-    kind = _KINDS.get(raw[0])
-    if kind is None:
+    shape = _SHAPES.get(raw[0])
+    if shape is None:
         return None
-    wanted = fields(kind)  # type: ignore[arg-type]
-    values = raw[1:1 + len(wanted)]
-    if len(values) < len(wanted):
-        raise BadFact(f"{kind.__name__} has {len(values)} fields of {len(wanted)}")
-    for one, value in zip(wanted, values, strict=True):
-        if not isinstance(value, _TYPES[str(one.type)]) or isinstance(value, bool):
-            raise BadFact(f"{kind.__name__}.{one.name} is {type(value).__name__}")
-        if isinstance(value, list) and not all(type(x) is int for x in value):
-            raise BadFact(f"{kind.__name__}.{one.name} holds what is no whole number")
-    return kind(*(tuple(value) if isinstance(value, list) else value for value in values))
+    kind, types = shape
+    values = raw[1:1 + len(types)]
+    if tuple(map(type, values)) != types:
+        raise BadFact(_why(kind, values, types))
+    if kind is Ended:
+        if not all(type(x) is int for x in values[-1]):
+            raise BadFact("Ended.spent holds what is no whole number")
+        return Ended(values[0], tuple(values[1]))
+    return kind(*values)
+
+
+def _why(kind: Callable[..., Fact], values: list[object], types: tuple[type, ...]) -> str:
+    name = kind.__name__
+    if len(values) < len(types):
+        return f"{name} has {len(values)} fields of {len(types)}"
+    names = [one.name for one in fields(kind)]  # type: ignore[arg-type]
+    at = next(n for n, (value, wanted) in enumerate(zip(values, types, strict=True)) if type(value) is not wanted)
+    return f"{name}.{names[at]} is {type(values[at]).__name__}"
--- a/copperyard/state/frames.py
+++ b/copperyard/state/frames.py
@@ -1,7 +1,7 @@
 """How facts lie in files: segments of records, and snapshots. Pure bytes.
 
     segment   MAGIC_S | major u8 | minor u8 | number u64 | first sequence u64 | check u64 | records
-    record    length u32 | sequence u64 | check u64 | payload | END
+    record    length u32 | check u64 | sequence u64 | payload | END
     snapshot  MAGIC_P | major u8 | minor u8 | 0 u64 | last sequence u64 | check u64 | records | trailer
     trailer   MAGIC_E | count of records u64 | check u64
 
@@ -17,6 +17,7 @@
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
@@ -26,12 +27,13 @@
 LOOK = 1 << 20  # bytes behind an unreadable record that are searched for a whole one
 _HEAD = struct.Struct("<4sBBQQ")
 _CHECK = struct.Struct("<Q")
-_RECORD = struct.Struct("<IQQ")
+_RECORD = struct.Struct("<IQ")
+_SEQUENCE = struct.Struct("<Q")
 _TAIL = struct.Struct("<4sQ")
 END = b"\xa5"
 TAIL_SIZE = _TAIL.size + _CHECK.size
 HEAD_SIZE = _HEAD.size + _CHECK.size
-RECORD_SIZE = _RECORD.size + len(END)  # of an empty payload
+RECORD_SIZE = _RECORD.size + _SEQUENCE.size + len(END)  # of an empty payload
 
 
 class BadFrame(ValueError):
@@ -52,8 +54,7 @@
     minor: int
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
+class Record(NamedTuple):
     """A record as it lies: where it begins, its sequence, its fact's bytes."""
 
     offset: int
@@ -61,11 +62,8 @@
     payload: bytes
 
 
-def _sum(*parts: bytes) -> int:
-    whole = xxhash.xxh3_64()
-    for part in parts:
-        whole.update(part)
-    return whole.intdigest()
+def _sum(data: bytes | memoryview) -> int:
+    return int(xxhash.xxh3_64_intdigest(data))
 
 
 def _head(magic: bytes, number: int, first: int, major: int = MAJOR, minor: int = MINOR) -> bytes:
@@ -82,8 +80,8 @@
     """A record's bytes. ValueError for a payload over MAX_RECORD."""
     if len(payload) > MAX_RECORD:
         raise ValueError(f"a record of {len(payload)} bytes: at most {MAX_RECORD} are kept")
-    number = sequence.to_bytes(8, "little")
-    return _RECORD.pack(len(payload), sequence, _sum(number, payload)) + payload + END
+    body = sequence.to_bytes(8, "little") + payload
+    return _RECORD.pack(len(payload), _sum(body)) + body + END
 
 
 def snapshot_head(last: int) -> bytes:
@@ -113,23 +111,22 @@
 
 def records(data: bytes, offset: int = HEAD_SIZE) -> Iterator[Record | str]:
     """The records that lie one after another, as far as they are whole; then, where bytes are left, why not."""
-    size = len(data)
-    view = memoryview(data)
+    size, view, head = len(data), memoryview(data), _RECORD.size
     while offset < size:
         if size - offset < RECORD_SIZE:
             yield f"{size - offset} bytes at {offset} are less than a record's header"
             return
-        length, sequence, check = _RECORD.unpack_from(data, offset)
-        begin = offset + _RECORD.size
-        if length > MAX_RECORD or begin + length + len(END) > size:
-            yield f"the record at {offset} claims {length} bytes, {size - begin} follow"
+        length, check = _RECORD.unpack_from(data, offset)
+        begin = offset + head
+        end = begin + 8 + length
+        if length > MAX_RECORD or end + 1 > size:
+            yield f"the record at {offset} claims {length} bytes, {size - begin - 8} follow"
             return
-        payload = bytes(view[begin:begin + length])
-        if _sum(sequence.to_bytes(8, "little"), payload) != check:
+        if _sum(view[begin:end]) != check:
             yield f"the check of the record at {offset} does not hold"
             return
-        yield Record(offset, sequence, payload)
-        offset = begin + length + len(END)
+        yield Record(offset, _SEQUENCE.unpack_from(data, begin)[0], data[begin + 8:end])
+        offset = end + 1
 
 
 def whole_after(data: bytes, offset: int, beyond: int) -> int | None:
@@ -137,10 +134,10 @@
     there is no torn end but damage within. A torn write leaves nothing whole behind it."""
     # a wrong guess passes a 64-bit check once in 10^19: no need to look for neighbours
     for at in range(offset + 1, min(offset + LOOK, len(data) - RECORD_SIZE + 1)):
-        length, sequence, check = _RECORD.unpack_from(data, at)
+        length, check = _RECORD.unpack_from(data, at)
         begin = at + _RECORD.size
-        if beyond < sequence < beyond + (1 << 32) and begin + length <= len(data) and length <= MAX_RECORD \
-                and _sum(data[at + 4:at + 12], data[begin:begin + length]) == check:
+        sequence, end = _SEQUENCE.unpack_from(data, begin)[0], begin + 8 + length
+        if beyond < sequence < beyond + (1 << 32) and end < len(data) and _sum(data[begin:end]) == check:
             return int(sequence)
     return None
 
