A viewer that takes its media is alive; OPTIONS and RTCP are signs; receiver reports reach hosts

Every session longer than idle ended as broken although its viewer took the film. Tests for each kind of viewer at the edge of the time-out, with a stall of the front in between.

--- a/copperyard/control/attempt.py
+++ b/copperyard/control/attempt.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from ..interface import Code, NoteKind, Report
-from ..protocol.rtp import App, Bye, SenderReport, encode_compound, parse_compound
+from ..protocol.rtp import App, Block, Bye, ReceiverReport, SenderReport, encode_compound, parse_compound
 from ..protocol.rtsp import Connection, Event, Limits, Malformed, Reply, Request, Response, Run, Unasked, frame_header
 from ..protocol.rtsp.headers import parse_rtp_info, parse_session, quote_path
 from ..protocol.rtsp.messages import BadHeader, Headers
@@ -19,6 +19,7 @@
 from .evidence import REPORT_HEADER, UP_HEADER, note_of, parse_report, parse_up
 from .splice import Splice, splice_run
 
+MOST_REPORTS = 8192  # bytes that wait for a host, beyond which receiver reports are left out
 FEATURE = "copperyard.host.1"
 TEXT = ("Content-Type", "text/parameters")
 
@@ -214,6 +215,16 @@
         """Ask for a sign of life, which also brings a report."""
         self._ask("GET_PARAMETER", self._url())
 
+    def receiver_report(self, track: int, blocks: tuple[Block, ...]) -> bool:
+        """Pass on what the viewer received of a track, by its place; whether it leaves. One that finds the connection
+        full is left out: the next one tells more."""
+        blocks = self.splices[track].reception(blocks)
+        if self.stage is not Stage.OPEN or not blocks or len(self.out) > MOST_REPORTS:
+            return False
+        payload = encode_compound([ReceiverReport(self.splices[track].ssrc, blocks)], self.splices[track].ssrc)
+        self.out += Connection.frame(2 * track + 1, payload)
+        return True
+
     def tear_down(self) -> None:
         """Say goodbye, where there is a session to end."""
         if self._session and self.stage is not Stage.DONE:
--- a/copperyard/control/outbox.py
+++ b/copperyard/control/outbox.py
@@ -19,6 +19,7 @@
     def __init__(self, limit: int, stall: int) -> None:
         self.limit, self.stall = limit, stall
         self.size = 0
+        self.taken = 0  # bytes that the peer took so far
         self._parts: deque[bytes] = deque()
 
     def put(self, data: bytes) -> None:
@@ -52,3 +53,4 @@
             if size < len(head):
                 self._parts.appendleft(head[size:])
             self.size -= size
+            self.taken += size
--- a/copperyard/control/plays.py
+++ b/copperyard/control/plays.py
@@ -40,6 +40,7 @@
     Wake,
     Watch,
 )
+from ..protocol.rtp import Block
 from ..state.facts import Carried, Cleared, digest
 from ..state.facts import Redeemed as CodeRedeemed
 from .attempt import (
@@ -348,6 +349,12 @@
             # else the code may be redeemed this very moment: the attempt goes on to its limit, so that the
             # family's next request finds a receipt and not a riddle
 
+    def received_by_viewer(self, ref: int, track: int, blocks: tuple[Block, ...]) -> None:
+        """Pass on to the host what the viewer received of a track, by its place among the wish's."""
+        play = self.plays.get(ref)
+        if play is not None and play.attempt is not None and play.attempt.receiver_report(track, blocks):
+            self.orders.append(Flush(play.attempt))
+
     def pause(self, now: int, ref: int) -> None:
         """Pass a viewer's PAUSE on; `Customer.done` or `ended` follows within the class's deadline."""
         play = self.plays[ref]
--- a/copperyard/control/splice.py
+++ b/copperyard/control/splice.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from ..protocol.rtp import Packet, SenderReport, parse, rewrite
+from ..protocol.rtp import Block, Packet, SenderReport, parse, rewrite
 
 SECOND = 1_000_000_000
 _NUMBERS = struct.Struct(">HII")  # sequence number, timestamp, source, from byte 2 of a packet on
@@ -73,6 +73,16 @@
         self.octets += len(data) - 12
         return rewrite(data, seq, ts, self.ssrc)
 
+    def reception(self, blocks: Sequence[Block]) -> tuple[Block, ...]:
+        """What a viewer received of this track (RFC 3550 section 6.4.1), in the host's own source and numbers. What
+        speaks of other sources, or of a time when no host fed this track, is left out."""
+        found = []
+        for one in blocks:
+            if one.ssrc == self.ssrc and self.source is not None:
+                highest = one.highest - self.seq_off & 0xFFFFFFFF
+                found.append(replace(one, ssrc=self.source, highest=highest))
+        return tuple(found)
+
     def report(self, one: SenderReport) -> SenderReport:
         """A host's sender report as the viewer gets it: the counts are of what this front sent."""
         return replace(one, ssrc=self.ssrc, ts=one.ts + self.ts_off & 0xFFFFFFFF, packets=self.sent,
--- a/copperyard/control/visits.py
+++ b/copperyard/control/visits.py
@@ -17,7 +17,7 @@
 from urllib.parse import urlencode
 
 from ..interface import Code
-from ..protocol.rtp import Bye, encode_compound
+from ..protocol.rtp import Bye, ReceiverReport, encode_compound, parse_compound
 from ..protocol.rtsp import Connection, Frame, Malformed, Reply, Request, Response, Unasked, frame_header
 from ..protocol.rtsp.connection import supported
 from ..protocol.rtsp.headers import (
@@ -45,6 +45,7 @@
 SECOND = 1_000_000_000
 METHODS = "OPTIONS, DESCRIBE, SETUP, PLAY, PAUSE, TEARDOWN, GET_PARAMETER, SET_PARAMETER"
 KNOWN = ("ANNOUNCE", "RECORD", "REDIRECT")  # of RFC 2326, and not served here
+REPORT_GAP = SECOND  # ns between receiver reports of one track that go on to its host
 SDP_TYPE = "application/sdp"
 
 
@@ -97,6 +98,8 @@
     start: float = 0.0
     heard: int = 0
     order: tuple[Splice, ...] = ()
+    taken: int = 0
+    reported: dict[int, int] = field(default_factory=dict)
 
     def played(self, now: int, infos: tuple[tuple[int, int] | None, ...]) -> None:
         self.state = State.PLAYING
@@ -224,14 +227,28 @@
             if isinstance(event, Request):
                 self._request(now, visitor, event)
             elif isinstance(event, Frame):
-                for session in visitor.sessions.values():
-                    if any(event.channel in (x.channel, x.channel + 1) for x in session.legs.values()):
-                        session.heard = now
+                self._frame(now, visitor, event)
             elif isinstance(event, Malformed):
                 self._malformed(now, visitor, event)
             else:
                 assert isinstance(event, Reply | Unasked)  # what a viewer says to a REDIRECT changes nothing
 
+    def _frame(self, now: int, visitor: Visitor, event: Frame) -> None:
+        """A viewer's RTCP is a sign of life; its receiver reports go on to the host, one a track in REPORT_GAP."""
+        for session in visitor.sessions.values():
+            if not any(event.channel in (x.channel, x.channel + 1) for x in session.legs.values()):
+                continue
+            session.heard = now
+            track = next((n for n, x in enumerate(session.order) if x.channel + 1 == event.channel), None)
+            if track is None or session.ref is None or session.state is not State.PLAYING \
+                    or now - session.reported.get(track, -REPORT_GAP) < REPORT_GAP:
+                continue
+            blocks = [block for one in parse_compound(event.payload) or ()
+                      if isinstance(one, ReceiverReport) for block in one.blocks]
+            if blocks:
+                session.reported[track] = now
+                self.plays.received_by_viewer(session.ref, track, tuple(blocks))
+
     def _malformed(self, now: int, visitor: Visitor, event: Malformed) -> None:
         self.orders.append(Line("viewer malformed", (("peer", visitor.peer), ("text", event.text))))
         slot = Slot(Request("", "*"))
@@ -285,6 +302,7 @@
             return Response(551, (("Unsupported", require),))
         method = request.method
         if method == "OPTIONS":
+            self._alive(now, visitor, request)
             return Response(200, (("Public", METHODS),))
         if method in KNOWN:
             return Response(405, (("Allow", METHODS),))
@@ -306,6 +324,14 @@
         session.heard = now
         return self._in_session(now, session, slot, request, target)
 
+    def _alive(self, now: int, visitor: Visitor, request: Request) -> None:
+        """OPTIONS that names a session is a sign of life for it (RFC 2326 section 10.1 leaves it without influence
+        on the state, and players in the field use it to keep a session)."""
+        named = request.header("Session")
+        session = visitor.sessions.get(parse_session(named)[0]) if named is not None else None
+        if session is not None:
+            session.heard = now
+
     def _in_session(self, now: int, session: Session, slot: Slot, request: Request,
                     target: Target) -> Response | None:
         method, state = request.method, session.state
@@ -464,6 +490,11 @@
         session = self.sessions.get(name)
         if session is None:
             return
+        if session.state is State.PLAYING and session.visitor.outbox.taken > session.taken:
+            # a viewer that takes its media is there, though it says nothing (RFC 2326 section 12.37 leaves it to the
+            # server); one that takes nothing any more loses its connection to `stall`
+            session.heard = now
+        session.taken = session.visitor.outbox.taken
         until = session.heard + self.rules.bounds.idle
         if now - until > SECOND and session.state is not State.STARTING:
             # found late: this front stood still, and what the viewer said meanwhile waits unread
