--- a/tests/control/test_life.py
+++ b/tests/control/test_life.py
@@ -125,7 +125,9 @@
     assert sum(isinstance(o, Flush) for o in core.take()) == 1
     wire = Connection(WIRE)
     (frame,) = [e for e in wire.receive(bytes(attempt.out)) if isinstance(e, Frame)]
-    report = (parse_compound(frame.payload) or [None])[0]
+    compound = parse_compound(frame.payload)
+    assert compound is not None
+    report = compound[0]
     (block,) = report.blocks
     assert frame.channel == 1 and block.ssrc == 77 and block.highest & 0xFFFF == 500
     assert (block.lost_share, block.lost, block.jitter, block.last_sr, block.delay) == (3, 7, 11, 22, 33)
