--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -36,7 +36,7 @@
 from copperyard.lab.audit import Side
 from copperyard.lab.viewers import Client
 from copperyard.state import frames
-from copperyard.state.book import Append, Book, Step
+from copperyard.state.book import Append, Book, Create, Step
 from copperyard.state.facts import Carried, Redeemed, digest, encode
 from copperyard.state.ledger import State
 from copperyard.state.recovery import Recovery, recover
@@ -101,7 +101,6 @@
     single = FolderDisk(folder / "single")
     single.lock("a measurement")
     one_at_a_time = trio.Lock()
-    from copperyard.state.book import Create
     await single.do(Create("a.seg", frames.segment_head(1, 1)))
 
     async def each_synced(n: int) -> None:
--- a/copperyard/gateway/disk.py
+++ b/copperyard/gateway/disk.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import os
+import time
 from pathlib import Path
 from typing import Protocol
 
@@ -71,7 +72,6 @@
         return (self.folder / name).read_bytes()
 
     def wall(self) -> int:
-        import time
         return time.time_ns()
 
     def touched(self) -> int | None:
