--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -165,3 +165,16 @@
 def test_settings_are_changed_by_path():
     text = (ROOT / "examples" / "caruso.xml").read_bytes()
     assert parse(experiment.changed(text, ["rules/attempts=2"], "x")).rules.settings.max_attempts == 2
+
+
+@pytest.mark.parametrize("places", [1, 2, 8])
+def test_all_fronts_start_within_a_second_while_all_hosts_are_cold(places):
+    # nobody knows what its earlier life sent, the list tells late, and each host takes a set-up or two
+    one = site(hosts=3, gateways=3, places=places, warm="6s", link="90MB/s")
+    script = day(strike("crash", 1.0, 2.0, 0, 1, 2), strike("gateway-crash", 2.05, 2.5, share=1.0),
+                 strike("gateway-crash", 4.0, 4.3, share=0.5), rate=14.0, seconds=9.0, paid=0.0, watch=(0.3, 1.0))
+    for seed in (1, 2):
+        found = play(one, script, seed)
+        assert not found.breaks, (seed, found.breaks[:2])
+        late = [t for t in found.tries if t.time > 3 * 10**9]
+        assert late, "cold hosts are used all the same"
