--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -418,3 +418,23 @@
     evening = run(body)
     kept_codes = [code for _, code, _ in evening.fleet.office.asked]
     assert len(kept_codes) == len(set(kept_codes)) == 6
+
+
+@pytest.mark.parametrize("rule", ["kept", "taken out"])
+def test_an_answer_before_its_receipt_is_on_disk_is_found(rule, monkeypatch):
+    # the machine and the code's host go down right after the answer: only the receipt on disk helps the family
+    if rule == "taken out":
+        from copperyard.control.attempt import Attempt
+        monkeypatch.setattr(Attempt, "hold", property(lambda self: False, lambda self, value: None), raising=False)
+
+    async def body(evening):
+        evening.disk.pause = 0.1
+        assert await evening.ask() == 200
+        evening.fleet.crash(next(h for h in evening.fleet.hosts if evening.fleet.office.asked[0][2] == h.name))
+        evening.fleet.kill_gateway(evening.gateway)
+        evening.disk.power_cut()
+        evening.disk.pause = 0.0
+        await evening.restart()
+        await trio.sleep(0.5)
+        assert await evening.ask() == (200 if rule == "kept" else 500)
+    assert kept(run(body)) == 1
