--- a/copperyard/control/core.py
+++ b/copperyard/control/core.py
@@ -32,6 +32,7 @@
         self.roster = Roster(zones, rules.settings.cells)
         self.plays = Plays(rules, seed, name, self._orders)
         self._cached = b""
+        self.list_changed = False  # since it was written down
         self.plays.reborn = self._reborn
         self.plays.host_name = lambda server: self.roster.names.get(server, "")
         self.plays.host_address = lambda host: self.roster.addresses.get(self.roster.numbers.get(host, -1))
@@ -85,8 +86,7 @@
             self._orders.append(Line("list", (("generation", self.roster.generation or 0),
                                               ("lines", len(news.entries)))))
             self.plays.listed(now, news, self.roster.addresses)
-            memory = self.plays.memory
-            memory.write(now, Listed(memory.at(now), self.roster.export(now)))
+            self.list_changed = True
         return True
 
     def _reborn(self, now: int, server: int, boot: str, age: int | None) -> bool:
@@ -99,6 +99,13 @@
         self.plays.listed(now, ServerList(ListKind.DELTA, (entry,)), self.roster.addresses)
         return True
 
+    def keep_list(self, now: int) -> None:
+        """Write the list down, for a new life whose list service does not answer. A background job: many changes that
+        come one after another are written once."""
+        self.list_changed = False
+        memory = self.plays.memory
+        memory.write(now, Listed(memory.at(now), self.roster.export(now)))
+
     def list_failed(self, now: int, text: str) -> None:
         """The list service did not answer, or its answer was of no use; the module says when to ask again."""
         self._orders.append(Line("list failed", (("text", text),)))
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -137,6 +137,10 @@
         self._store = Store(book, disk, self.background, self._stored)
         self.background.add("expiry", Priority.IDLE, core.plays.expire, now())
 
+    def _keep_list(self, when: int) -> None:
+        self.core.keep_list(when)
+        self._carry_out()
+
     def _let_go(self) -> None:
         if self._store is not None and self.station.disk is not None:
             self.station.disk.close()
@@ -205,6 +209,9 @@
             else:
                 assert isinstance(order, Line)
                 self.log(order.event, {"front": self.station.name, **dict(order.fields)})
+        if self._store is not None and self.core.list_changed:
+            self.core.list_changed = False
+            self.background.add("list", Priority.USUAL, self._keep_list)
         if self._store is not None and self._store.book.sequence != self._written:
             self._written = self._store.book.sequence
             self._store.look()
