--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -78,7 +78,7 @@
         book = Book(Recovery(), "gw", "g", now(), 0)
         waiting: deque[tuple[int, trio.Event]] = deque()
 
-        def stored() -> None:
+        async def stored() -> None:
             while waiting and book.durable(waiting[0][0]):
                 waiting.popleft()[1].set()
 
--- a/copperyard/gateway/daemon.py
+++ b/copperyard/gateway/daemon.py
@@ -145,8 +145,10 @@
         if self._store is not None and self.station.disk is not None:
             self.station.disk.close()
 
-    def _stored(self) -> None:
-        """More is durable, or the disk failed."""
+    async def _stored(self) -> None:
+        """More is durable, or the disk failed. Set-ups that waited for it leave now: as for those that waited for a
+        connection, what lies unread of the list comes first."""
+        await self._catch_up()
         store = self._store
         if store is not None and store.book.ailing != self._ailing:
             self._ailing = store.book.ailing
--- a/copperyard/gateway/store.py
+++ b/copperyard/gateway/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -16,7 +16,8 @@
 class Store:
     """The tasks of one gateway's journal. `stored` is called whenever more is durable, or something failed."""
 
-    def __init__(self, book: Book, disk: Disk, background: Background, stored: Callable[[], None]) -> None:
+    def __init__(self, book: Book, disk: Disk, background: Background,
+                 stored: Callable[[], Awaitable[None]]) -> None:
         self.book, self.disk, self.background, self.stored = book, disk, background, stored
         self._made: list[Step | None] = []
         self._making = Signal()
@@ -59,8 +60,8 @@
                 await self.disk.do(step)
             except OSError as error:
                 book.failed(lane, f"{type(step).__name__} {step.name}: {error.strerror or error}", now())
-                self.stored()
+                await self.stored()
             else:
                 if book.done(lane, now()):
-                    self.stored()
+                    await self.stored()
             self._wake["chore" if lane == "commit" else "commit"].set()
--- a/copperyard/state/book.py
+++ b/copperyard/state/book.py
@@ -120,6 +120,10 @@
         self.tally.facts += 1
         if self.ailing and self._heal_at is not None:
             return self._sequence  # the snapshot with which it gets well again will have it
+        if len(self._waiting) >= MOST_WAITING:
+            # a disk that hangs neither takes nor fails: nothing more is gathered for it, a snapshot will have it all
+            self._ail("too much waits for the disk", now)
+            return self._sequence
         self._waiting += record(self._sequence, encode(fact))
         self._waiting_to = self._sequence
         return self._sequence
@@ -169,8 +173,8 @@
 
     def wants_chore(self, now: int) -> bool:
         """Whether the second lane may have a step to give."""
-        if self._busy["chore"] is not None:
-            return False
+        if self._busy["chore"] is not None or self.ailing and self._busy["commit"] is not None:
+            return False  # while a commit is still out nobody can say up to where its file reaches
         if self.ailing and not self._healing and self._heal_at is not None and now < self._heal_at:
             return False
         return self._chores is not None or bool(self._old) or self._wants_snapshot()
@@ -255,6 +259,8 @@
         before = self._durable
         if lane == "commit":
             if isinstance(step, Create):
+                if self.ailing:
+                    return False  # begun before it ailed: its first sequence is not the one that will follow
                 self._name, self._size = step.name, len(step.data)
                 self._files.append(step.name)
             elif isinstance(step, Append):
@@ -275,9 +281,13 @@
             self._chores = None
             if not self._healing:
                 return  # the journal goes on; the snapshot, or the removal, is tried again when one is due
+        self._ail(text or "failed", now)
+
+    def _ail(self, text: str, now: int) -> None:
+        """No file may be written any more until all that is known went into a new snapshot."""
         self._name, self._healing = "", 0
         self._waiting.clear()  # `state` has it all, and the snapshot will
-        self.ailing = text or "failed"
+        self.ailing = text
         self._chores = None
         self._heal_at = now + self._heal_wait
         self._heal_wait = min(HEAL_MOST, 2 * self._heal_wait)
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -438,3 +438,25 @@
         await trio.sleep(0.5)
         assert await evening.ask() == (200 if rule == "kept" else 500)
     assert kept(run(body)) == 1
+
+
+def test_a_set_up_that_waited_for_the_disk_leaves_after_the_unread_list(monkeypatch):
+    from copperyard.gateway.listing import Follower
+    steps = []
+    look, leave = Follower.catch_up, Plays.stored
+
+    async def looked(self, most):
+        await look(self, most)
+        steps.append("look")
+
+    def left(self, now):
+        steps.append("leave")
+        leave(self, now)
+    monkeypatch.setattr(Follower, "catch_up", looked)
+    monkeypatch.setattr(Plays, "stored", left)
+
+    async def body(evening):
+        steps.clear()
+        assert await evening.ask() == 200
+    run(body)
+    assert "leave" in steps and all(a == "look" for a, b in zip(steps, steps[1:], strict=False) if b == "leave")
--- a/tests/state/test_book.py
+++ b/tests/state/test_book.py
@@ -127,6 +127,33 @@
     assert book.well and book.durable(number) and len(folder.recover().state.codes) == 1
 
 
+@pytest.mark.parametrize("end", ["done", "failed"])
+@pytest.mark.parametrize("out", [Create, Append])
+def test_what_waits_for_a_disk_that_hangs_is_bounded_and_nothing_is_lost(end, out, monkeypatch):
+    monkeypatch.setattr("copperyard.state.book.MOST_WAITING", 2000)
+    folder, book = begin()
+    if out is Append:
+        folder.do(book.commit(0))
+        book.done("commit", 0)
+    step = book.commit(0)
+    assert isinstance(step, out)
+    numbers = [book.write(0, carried(n)) for n in range(500)]  # the step hangs
+    assert len(book._waiting) < 2200 and not book.well and book.chore(40 * SECOND) is None
+    folder.do(step)
+    if end == "done":
+        book.done("commit", 50 * SECOND)
+    else:
+        book.failed("commit", "EIO", 50 * SECOND)
+    assert not any(book.durable(n) for n in numbers)
+    turn(folder, book, 99 * SECOND)
+    assert book.well and all(book.durable(n) for n in numbers)
+    found = folder.recover()
+    assert len(found.state.codes) == 500 and not found.harm
+    last = book.write(99 * SECOND, carried(777))
+    turn(folder, book, 99 * SECOND)
+    assert book.durable(last) and len(folder.recover().state.codes) == 501 and not folder.recover().harm
+
+
 def test_a_failed_snapshot_or_removal_harms_no_commit():
     folder, book = begin()
     for n in range(50):
