--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -50,7 +50,8 @@
 RETEST = 4 * SECOND  # wait before a trial of a bad server, times its share of failures: 1 s after the first
 BLIND = 0.8  # load taken for granted until the first evidence: an empty ledger is no empty link
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
-PROBES = 2.0  # probes that each request pays for; dear ones would cost more worth than they save
+PROBES = 2.0  # probes that each request pays for at most
+SPEND = 0.02  # part of its service that probes for a request may cost: what many fronts ask adds up
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
 SILENT = 0.2  # a delivered share below this is a stopped server, not a full link
 MOST_LOAD = 4.0  # bound on what a report or note may claim
@@ -265,7 +266,8 @@
         self.taken.append(now)
         while self.taken[0] <= now - max(self.set.ratio_span, self.set.fall):
             self.taken.popleft()
-        self.credit = min(self.credit + PROBES, SCAN)
+        price = self.set.price_probe
+        self.credit = min(self.credit + (min(PROBES, SPEND / price) if price > 0 else PROBES), SCAN)
         session = self._session(now, r)
         if session.top < session.kind.floor:
             self._refuse(session)  # no rung is both allowed and usable: waiting cannot help
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -327,3 +327,28 @@
     one.servers[0].lost = now
     later = now + one._gap(one.servers[0])
     assert sends(one.handle(later, request(200, home=0, holders=1, title=200)))
+
+
+def probes_of(price, requests=200):
+    """How many probes the first requests of a front bring, at a price of a probe a session."""
+    one = front(probes=True, reports_in_answers=False, price_probe=price)
+    asked = 0
+    for ref in range(requests):
+        now = SECOND + 2 * ref * SECOND
+        actions = one.handle(now, request(ref, hint=SECOND))
+        while probes := only(actions, api.Probe):
+            asked += len(probes)
+            actions = []
+            for probe in probes:
+                actions += one.handle(now + MS, api.Probed(probe.server, api.Code.OK, MS, api.Report(0.1, 0.1)))
+        for sent in sends(actions):
+            one.handle(now + 2 * MS, api.Opened(ref, 0, sent.server, MS))
+            one.handle(now + SECOND, api.Outcome(ref, 0, sent.server, api.Code.OK, SECOND, True))
+    return asked / requests
+
+
+def test_dear_probes_are_few():
+    # two hundred fronts that each looked before every choice paid a quarter of what they served for it
+    assert 1.5 < probes_of(0.01) <= 2.1
+    assert probes_of(0.08) <= 0.3
+    assert probes_of(0.0) > 1.5
