--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -51,7 +51,8 @@
 BLIND = 0.8  # load taken for granted until the first evidence: an empty ledger is no empty link
 COLD_SHARE = 0.5  # part of the cold budget that fronts use: chance and unequal work need the rest
 PROBES = 2.0  # probes that each request pays for at most
-SPEND = 0.02  # part of its service that probes for a request may cost: what many fronts ask adds up
+SPEND = 0.03  # looks gain about as the root of their number: best is (this over their price) squared
+WAY = 0.1  # part of a connect's time limit that an answer may take on its way to the viewer
 PROBE_AGE = SECOND  # evidence older than this is renewed by a probe before a choice, where that pays
 SILENT = 0.2  # a delivered share below this is a stopped server, not a full link
 MOST_LOAD = 4.0  # bound on what a report or note may claim
@@ -191,6 +192,8 @@
         self.took = 100.0 * MS
         self.best = max(settings.rung_worth[k.floor] / settings.rung_kb[k.floor] * k.worth / k.scale
                         for k in settings.classes)
+        price = settings.price_probe
+        self.looks = min(PROBES, (SPEND / price) ** 2) if price > 0 else PROBES
         self.credit = 0.0
         self.short = NEVER
         self.titles: dict[int, None] = {}
@@ -257,7 +260,8 @@
     def _session(self, now: int, r: Request) -> Session:
         kind = self.set.classes[r.cls]
         top = min(r.top, kind.top, len(self.set.rung_kb) - 1)
-        deadline = min(r.deadline, now + kind.deadline) - self.set.tick
+        way = max(self.set.tick, int(WAY * self.set.connect_timeout))  # a refusal must come in time, too
+        deadline = min(r.deadline, now + kind.deadline) - way
         return self.sessions.setdefault(r.ref, Session(r, kind, top, now, deadline, kind.floor))
 
     def _request(self, now: int, r: Request) -> None:
@@ -266,8 +270,7 @@
         self.taken.append(now)
         while self.taken[0] <= now - max(self.set.ratio_span, self.set.fall):
             self.taken.popleft()
-        price = self.set.price_probe
-        self.credit = min(self.credit + (min(PROBES, SPEND / price) if price > 0 else PROBES), SCAN)
+        self.credit = min(self.credit + self.looks, SCAN)
         session = self._session(now, r)
         if session.top < session.kind.floor:
             self._refuse(session)  # no rung is both allowed and usable: waiting cannot help
@@ -419,7 +422,9 @@
         if not self.set.probes or self.set.reports_in_answers:
             return SPREAD
         keep: float = 0.5 ** ((now - self.short) / HALF) if self.short > NEVER else 0.0
-        keep = max(keep, 1.0 - 0.5 ** ((now - server.link.seen_at) / PROBE_AGE))
+        # few looks make all evidence old: then full answers, which cost nothing, tell where a mark was too bold
+        old = 1.0 - 0.5 ** ((now - server.link.seen_at) / PROBE_AGE)
+        keep = max(keep, old * self.looks / PROBES)
         return SPREAD * (CALM + (1 - CALM) * keep)
 
     # ---- guards
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -352,3 +352,13 @@
     assert 1.5 < probes_of(0.01) <= 2.1
     assert probes_of(0.08) <= 0.3
     assert probes_of(0.0) > 1.5
+
+
+def test_old_evidence_lowers_marks_only_where_looks_are_affordable():
+    # with dear looks nearly all evidence is old: marks that fell with its age left half of the links idle all day
+    def mark(price):
+        one = front(probes=True, reports_in_answers=False, price_probe=price)
+        for k in range(4):
+            one.handle(SECOND, api.Probed(k, api.Code.OK, MS, api.Report(0.3, 0.3)))
+        return one._mark(5 * SECOND, SAFE, 2, 1.0, one.servers[0])
+    assert mark(0.08) > mark(0.01) + 0.05
