A refusal alone ends no session; at the bound of descriptors an idle connection makes room

Refused now counts at once only just after a standing connection was cut, else after 4 s of refusals, dialled ever slower; the idle connection heard longest ago, of a host where nothing of ours stands, makes room.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -135,6 +135,13 @@
         """Whether there is a descriptor for one more connection to a host."""
         return connections < bounds.hosts_share(self.sockets)
 
+    def spare_link(self) -> Link | None:
+        """The connection to a host that is missed least: nothing waits or is out on it, and no session of ours stands
+        there whose release would come on it. The one that was heard longest ago."""
+        idle = [link for host in self.hosts.values() if not host.standing for link in host.links
+                if link.state is State.UP and not link.attempts and not link.out]
+        return min(idle, key=lambda link: (link.heard, link.number)) if idle else None
+
     def take(self) -> Orders:
         """The orders since the last call."""
         orders, self.orders = self.orders, Orders()
@@ -565,7 +572,8 @@
         if was in (State.DOWN, State.PARTING):
             return
         host.links.remove(link)
-        host.missing = host.missing or was is State.UP
+        if was is State.UP:
+            host.missing, host.cut = True, now
         waiting, link.out = link.out, []
         self.timers.drop(("partial", link))
         for attempt in list(link.attempts.values()):
@@ -588,8 +596,9 @@
         self._tidy(host)
 
     def _missed(self, now: int, host: HostState, refused: bool) -> None:
-        """A connection did not come up. Refused with none that stands: its process has died, and its sessions
-        with it. Silent: only when it stays so for a while."""
+        """A connection did not come up. Refused just after one that stood was cut: its process has died, and its
+        sessions with it. Refused else: it may hold as many connections as it can, and play. Silent: a machine that is
+        gone, or a moment's loss. Those two count only when it stays so for a while."""
         if refused and host.up() is not None:
             return  # it takes no more connections, but it is there
         if not refused:
@@ -597,8 +606,10 @@
         host.misses += 1
         if host.misses == 1:
             host.missed = now
-        gone = host.misses >= bounds.MISSES and now - host.missed >= bounds.SECOND and now - host.heard >= bounds.WARY
-        if refused or gone:
+        died = refused and now - host.cut < 2 * bounds.REDIAL
+        span = bounds.REFUSED if refused else bounds.SECOND
+        gone = host.misses >= bounds.MISSES and now - host.missed >= span and now - host.heard >= bounds.WARY
+        if died or gone:
             self._lost(now, host)
 
     def _lost(self, now: int, host: HostState) -> None:
@@ -671,7 +682,7 @@
             return
         if not host.listed:
             return None if host.links else self._lost(now, host)
-        due = host.checked + bounds.REDIAL
+        due = host.checked + bounds.REDIAL * min(bounds.SLOWEST, 1 + host.misses)
         if now >= due:
             host.checked = now
             self._dial(now, host)
--- a/copperyard/control/node/links.py
+++ b/copperyard/control/node/links.py
@@ -56,7 +56,8 @@
 @dataclass(eq=False, slots=True)
 class HostState:
     """One media host, by its number: a new host may carry the address of one that has gone. `links` are those that are
-    dialled or stand. `missing`: one was lost, and what was said on it comes again on the next one only."""
+    dialled or stand. `missing`: one was lost, and what was said on it comes again on the next one only; `cut`: when
+    that was."""
 
     server: int
     name: str
@@ -70,6 +71,7 @@
     checked: int = 0
     watched: bool = False
     missing: bool = False
+    cut: int = -1 << 62
 
     def up(self) -> Link | None:
         """A connection that stands."""
--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -260,7 +260,8 @@
     def _session(self, now: int, r: Request) -> Session:
         kind = self.set.classes[r.cls]
         top = min(r.top, kind.top, len(self.set.rung_kb) - 1)
-        way = max(self.set.tick, int(WAY * self.set.connect_timeout))  # a refusal must come in time, too
+        # a refusal must come in time, too
+        way = max(self.set.tick, int(WAY * self.set.connect_timeout))
         deadline = min(r.deadline, now + kind.deadline) - way
         return self.sessions.setdefault(r.ref, Session(r, kind, top, now, deadline, kind.floor))
 
@@ -422,7 +423,7 @@
         if not self.set.probes or self.set.reports_in_answers:
             return SPREAD
         keep: float = 0.5 ** ((now - self.short) / HALF) if self.short > NEVER else 0.0
-        # few looks make all evidence old: then full answers, which cost nothing, tell where a mark was too bold
+        # few looks make all evidence old; full answers, which cost nothing, tell where a mark was too bold
         old = 1.0 - 0.5 ** ((now - server.link.seen_at) / PROBE_AGE)
         keep = max(keep, old * self.looks / PROBES)
         return SPREAD * (CALM + (1 - CALM) * keep)
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -147,8 +147,11 @@
                     self.log(event, fields)
                 for link in orders.dial:
                     if not self.core.may_dial(len(self._links)):
-                        self.core.link_down(now(), link)
-                        continue
+                        spare = self.core.spare_link()
+                        if spare is None:
+                            self.core.link_down(now(), link)
+                            continue
+                        self._close(spare)
                     scope = self._links[link] = trio.CancelScope()
                     self._nursery.start_soon(self._link, link, scope)
                 if orders.write:
@@ -194,7 +197,7 @@
 
     def _close(self, link: Link) -> None:
         self.core.link_down(now(), link)
-        self._links[link].cancel()
+        self._links.pop(link).cancel()
         self._cut(link)
 
     def _part(self, link: Link) -> None:
@@ -326,7 +329,7 @@
                 await self._hear(link, stream)
         finally:
             self._pipes.pop(link, None)
-            del self._links[link]
+            self._links.pop(link, None)
             if stream is not None:
                 stream.close()
             self.core.link_down(now(), link, refused, stream is None and not refused and not local)
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -552,3 +552,45 @@
         desk.standing(n)
     desk.host_says(old, release(sid(n)))
     assert sid(n) not in [one.name for one in desk.core.sessions.values()]
+
+
+def test_a_refusal_alone_does_not_end_what_plays_at_a_host_that_may_be_full():
+    # a host that holds as many connections as it can refuses one more, and plays on
+    desk = Desk()
+    viewer, link = desk.standing()
+    desk.wait(4)
+    desk.at_once = False
+    desk.down(link)  # it closed an idle connection; somebody else has its place now
+    desk.wait(1.2)
+    for _ in range(2):
+        for one in [one for one in desk.dialled if one.state is State.DIALLING]:
+            desk.down(one, refused=True)
+        desk.wait(1.2)
+    assert desk.statuses(viewer) == [] and desk.core.sessions
+
+
+def test_a_host_that_goes_on_refusing_is_dead_within_the_protocols_time():
+    desk = Desk()
+    viewer, link = desk.standing()
+    desk.at_once = False
+    desk.down(link)
+    end = desk.now + 7 * SECOND
+    desk.wait(1.2)
+    while desk.now < end and not desk.statuses(viewer):
+        desk.wait(0.1)
+        for one in [one for one in desk.dialled if one.state is State.DIALLING]:
+            desk.down(one, refused=True)
+    assert desk.now < end and not desk.core.sessions
+
+
+def test_at_the_bound_of_connections_the_one_that_is_missed_least_makes_room():
+    # with more hosts than descriptors the first ones used to keep theirs for good, and set-ups at all others came back
+    desk = Desk()
+    _, held = desk.standing()
+    idle = next(host for host in desk.core.hosts.values() if host is not held.host)
+    desk.core._dial(desk.now, idle)
+    desk.turn()
+    spare = desk.core.spare_link()
+    assert spare is not None and spare.host is idle
+    desk.down(spare)
+    assert desk.core.spare_link() is None  # the other one brings the release of what stands there
