--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -194,7 +194,7 @@
                         for k in settings.classes)
         price = settings.price_probe
         self.looks = min(PROBES, (SPEND / price) ** 2) if price > 0 else PROBES
-        self.credit = 0.0
+        self.credit = PROBES  # a front that knows nothing looks at its first pair
         self.short = NEVER
         self.titles: dict[int, None] = {}
         self.out: list[Action] = []
@@ -423,9 +423,11 @@
         if not self.set.probes or self.set.reports_in_answers:
             return SPREAD
         keep: float = 0.5 ** ((now - self.short) / HALF) if self.short > NEVER else 0.0
-        # few looks make all evidence old; full answers, which cost nothing, tell where a mark was too bold
+        # few looks make all evidence of one server old: then that of all together counts. With none, nothing
+        # tells of uplinks, where no full answer shows that a mark was too bold
         old = 1.0 - 0.5 ** ((now - server.link.seen_at) / PROBE_AGE)
-        keep = max(keep, old * self.looks / PROBES)
+        vague = 1.0 - 0.5 ** ((now - self.uplinks.at) / POOL_HALF) if self.uplinks.at else 1.0
+        keep = max(keep, vague + (old - vague) * self.looks / PROBES)
         return SPREAD * (CALM + (1 - CALM) * keep)
 
     # ---- guards
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -362,3 +362,10 @@
             one.handle(SECOND, api.Probed(k, api.Code.OK, MS, api.Report(0.3, 0.3)))
         return one._mark(5 * SECOND, SAFE, 2, 1.0, one.servers[0])
     assert mark(0.08) > mark(0.01) + 0.05
+
+
+def test_a_front_without_any_evidence_keeps_the_whole_reserve_and_looks_at_its_first_pair():
+    # seen: two hundred fronts that knew nothing yet asked for 1.09 of the uplinks within five seconds
+    one = front(probes=True, reports_in_answers=False, price_probe=0.08, fronts=200)
+    assert one._mark(SECOND, SAFE, 2, 1.0, one.servers[0]) <= 0.7501
+    assert len(only(one.handle(SECOND, request(1)), api.Probe)) == 2
