--- a/copperyard/decide.py
+++ b/copperyard/decide.py
@@ -77,6 +77,10 @@
     weight: float = 1.0
     at: int = 0
 
+    def pieces(self, now: int) -> float:
+        """How many fresh pieces of evidence the mean is worth."""
+        return self.weight * 0.5 ** ((now - self.at) / POOL_HALF) if self.at else 0.0
+
     def learn(self, now: int, value: float) -> None:
         self.weight = self.weight * 0.5 ** ((now - self.at) / POOL_HALF) + 1
         self.value += (value - self.value) / self.weight
@@ -423,10 +427,10 @@
         if not self.set.probes or self.set.reports_in_answers:
             return SPREAD
         keep: float = 0.5 ** ((now - self.short) / HALF) if self.short > NEVER else 0.0
-        # few looks make all evidence of one server old: then that of all together counts. With none, nothing
-        # tells of uplinks, where no full answer shows that a mark was too bold
+        # few looks make all evidence of one server old: then counts how many pieces the mean of all rests on.
+        # With one or none, nothing tells of uplinks, where no full answer shows that a mark was too bold
         old = 1.0 - 0.5 ** ((now - server.link.seen_at) / PROBE_AGE)
-        vague = 1.0 - 0.5 ** ((now - self.uplinks.at) / POOL_HALF) if self.uplinks.at else 1.0
+        vague = 1.0 / max(1.0, self.uplinks.pieces(now))
         keep = max(keep, vague + (old - vague) * self.looks / PROBES)
         return SPREAD * (CALM + (1 - CALM) * keep)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -369,3 +369,15 @@
     one = front(probes=True, reports_in_answers=False, price_probe=0.08, fronts=200)
     assert one._mark(SECOND, SAFE, 2, 1.0, one.servers[0]) <= 0.7501
     assert len(only(one.handle(SECOND, request(1)), api.Probe)) == 2
+
+
+def test_one_piece_of_evidence_does_not_make_a_front_bold_where_looks_are_few():
+    # hosts differ by a third of a link from one moment to the next: a mean of one tells little of the others
+    one = front(probes=True, reports_in_answers=False, price_probe=0.08, fronts=200)
+
+    def mark(pieces):
+        for k in range(pieces):
+            load(one, 200 * SECOND, k % 4, 0.3, 0.3)
+        return one._mark(200 * SECOND, SAFE, 2, 1.0, one.servers[0])
+    first, later = mark(1), mark(7)
+    assert first <= 0.76 and later > first + 0.05
