Only a reset before a refusal counts as death; a connection closed in order does not

A full host that closes an idle connection and refuses the next at once still lost its sessions. Lines at fault: NodeCore.link_down's cut. The I/O now says whether the peer reset the connection; the test refuses at once, and fails without this.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -563,9 +563,11 @@
             self._ended(now, one, Code.MOOT, None)
         return b"".join(parts), last
 
-    def link_down(self, now: int, link: Link, refused: bool = False, silent: bool = False) -> None:
+    def link_down(self, now: int, link: Link, refused: bool = False, silent: bool = False,
+                  reset: bool = False) -> None:
         """The connection is at its end, or never came up: `refused` where the host's machine said no, `silent` where
-        nobody said anything, neither where this machine had none to give. What may have run there has ended unclear;
+        nobody said anything, neither where this machine had none to give; `reset` where its peer broke it off, which a
+        process that dies does, and one that closes in order does not. What may have run there has ended unclear;
         what never left is sent on a new one."""
         host, was = link.host, link.state
         link.state = State.DOWN
@@ -573,7 +575,7 @@
             return
         host.links.remove(link)
         if was is State.UP:
-            host.missing, host.cut = True, now
+            host.missing, host.cut = True, now if reset else host.cut
         waiting, link.out = link.out, []
         self.timers.drop(("partial", link))
         for attempt in list(link.attempts.values()):
@@ -596,7 +598,7 @@
         self._tidy(host)
 
     def _missed(self, now: int, host: HostState, refused: bool) -> None:
-        """A connection did not come up. Refused just after one that stood was cut: its process has died, and its
+        """A connection did not come up. Refused just after one that stood was reset: its process has died, and its
         sessions with it. Refused else: it may hold as many connections as it can, and play. Silent: a machine that is
         gone, or a moment's loss. Those two count only when it stays so for a while."""
         if refused and host.up() is not None:
--- a/copperyard/control/node/links.py
+++ b/copperyard/control/node/links.py
@@ -57,7 +57,7 @@
 class HostState:
     """One media host, by its number: a new host may carry the address of one that has gone. `links` are those that are
     dialled or stand. `missing`: one was lost, and what was said on it comes again on the next one only; `cut`: when
-    that was."""
+    one was last reset by its peer."""
 
     server: int
     name: str
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -195,8 +195,8 @@
         self.core.orders.write.append(link)
         self.carry_out()
 
-    def _close(self, link: Link) -> None:
-        self.core.link_down(now(), link)
+    def _close(self, link: Link, reset: bool = False) -> None:
+        self.core.link_down(now(), link, reset=reset)
         self._links.pop(link).cancel()
         self._cut(link)
 
@@ -216,15 +216,16 @@
     def _alive(self, link: Link, stream: Stream) -> bool:
         """Look whether a connection has ended unnoticed before a set-up is entrusted to it; one that was written to
         a closed connection could not be proved not to have run."""
+        reset = False
         try:
             data = stream.receive_now(bounds.READ)
         except OSError:
-            data = b""
+            data, reset = b"", True
         if data is None:
             return True
         if data and self.core.link_said(now(), link, data) is None:
             return True
-        self._close(link)
+        self._close(link, reset)
         return False
 
     def _speak(self, viewer: Viewer) -> None:
@@ -308,7 +309,7 @@
 
     async def _link(self, link: Link, scope: trio.CancelScope) -> None:
         stream: Stream | None = None
-        refused = local = False
+        refused = local = reset = False
         try:
             with scope:
                 with trio.move_on_after(self.core.settings.connect_timeout / 1e9):
@@ -326,22 +327,24 @@
                                          lambda: self._roomy(link))
                 self.core.link_up(now(), link)
                 self.carry_out()
-                await self._hear(link, stream)
+                reset = await self._hear(link, stream)
         finally:
             self._pipes.pop(link, None)
             self._links.pop(link, None)
             if stream is not None:
                 stream.close()
-            self.core.link_down(now(), link, refused, stream is None and not refused and not local)
+            self.core.link_down(now(), link, refused, stream is None and not refused and not local, reset)
             self.carry_out()
 
-    async def _hear(self, link: Link, stream: Stream) -> None:
+    async def _hear(self, link: Link, stream: Stream) -> bool:
+        """Read to the end of the connection; whether its peer reset it."""
         while link.state in (State.UP, State.PARTING):
             try:
                 data = await stream.receive_some(bounds.READ)
             except CLOSED:
-                return
+                return True
             if not data:
-                return
+                return False
             self.core.link_said(now(), link, data)
             self.carry_out()
+        return False
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -141,7 +141,7 @@
     (again,) = [one for one in desk.dialled if one.state is State.DIALLING]
     desk.up(again)
     assert desk.statuses(viewer) == []  # a reset alone ends nothing
-    desk.down(again)
+    desk.down(again, reset=True)
     desk.wait(0.6)
     desk.down(desk.dialled[-1], refused=True)
     assert desk.statuses(viewer) == ["TEARDOWN"]
@@ -561,7 +561,6 @@
     desk.wait(4)
     desk.at_once = False
     desk.down(link)  # it closed an idle connection; somebody else has its place now
-    desk.wait(1.2)
     for _ in range(2):
         for one in [one for one in desk.dialled if one.state is State.DIALLING]:
             desk.down(one, refused=True)
