A client that has gone starts no attempt: its connection is read before a set-up leaves

Seen: before a set-up left, the list's socket and the host's connection were looked at, the client's was not. At fault: Node._write in gateway/node/daemon.py, which went from _alive straight to core.frames.

Now: _look_at_clients, at the one place where the bytes of attempts leave, reads the connections of the clients concerned and no others, MOST_LOOKS reads at most. Also: _alive stopped at a host's last words and did not see its end behind them; connections accepted in one turn were counted one turn late; an idle connection that made room or was swept was closed over a request that lay unread there.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -97,6 +97,7 @@
         self._refs = 0
         self._numbers = 0
         self._ending: int | None = None
+        self._sweep_at = 0
         self._rng = random.Random(seed)
         self._doubted = -bounds.DOUBT
         self._feed = Feed(lambda: self.module, {
@@ -109,7 +110,8 @@
         """The list of the configuration; from here on the node can serve."""
         self.listed(now, news)
         self.ready = True
-        self.timers.set(("sweep", None), now + bounds.SWEEP)
+        self._sweep_at = now + bounds.SWEEP
+        self.timers.set(("sweep", None), self._sweep_at)
 
     def end(self, now: int) -> None:
         """The node is to end: what comes within LATECOMERS is still taken, what plays goes on until the process is
@@ -120,16 +122,18 @@
 
     @property
     def over(self) -> bool:
-        """Whether a node that is to end has nothing left to do."""
+        """Whether a node that is to end has nothing left to do for those whose requests it has heard."""
         return self._ending is not None and not self.sessions
 
-    def makes_room(self, now: int, connections: int) -> tuple[bool, Viewer | None]:
-        """For one more connection of viewers beside `connections`: whether it is taken, and which one it takes the
-        place of. Beyond their share the one that is missed least goes; where all are needed the new one does."""
-        if connections < bounds.viewers_share(self.sockets):
-            return True, None
-        spare = self._spare()
-        return spare is not None, spare
+    @property
+    def unsaid(self) -> bool:
+        """Whether anything that a host is to be told waits for a connection."""
+        return any(link.out for host in self.hosts.values() for link in host.links)
+
+    def has_room(self, connections: int) -> bool:
+        """Whether viewers may have one more connection beside `connections`. Beyond their share it takes the place of
+        `spare`; where there is none, it is not taken."""
+        return connections < bounds.viewers_share(self.sockets)
 
     def may_dial(self, connections: int) -> bool:
         """Whether there is a descriptor for one more connection to a host."""
@@ -260,21 +264,30 @@
             viewer.out += data
             self.orders.answer.append(viewer)
 
-    def _spare(self) -> Viewer | None:
-        """The viewers' connection that is missed least: one that said nothing, else the one that is idle longest."""
-        idle = [viewer for viewer in self.viewers if not viewer.open]
+    def spare(self) -> Viewer | None:
+        """The viewers' connection that is missed least: one that said nothing, else the one that is idle longest. Not
+        one to which an answer is on its way: a close would cut it off."""
+        idle = [viewer for viewer in self.viewers if not viewer.open and not viewer.unsent]
         return min(idle, key=lambda viewer: (viewer.served >= 0, viewer.spoke, viewer.heard)) if idle else None
 
+    def stale(self, now: int) -> list[Viewer]:
+        """The connections that the sweep that is due, if one is, will close. Whoever calls `wake` reads what lies
+        unread there first, so that no request that came in time meets the close."""
+        return [viewer for viewer in self.viewers if self._stale(now, viewer)] if now >= self._sweep_at else []
+
+    def _stale(self, now: int, viewer: Viewer) -> bool:
+        quiet = now - viewer.began >= bounds.MUTE if not viewer.spoke else now - viewer.heard >= bounds.IDLE
+        return quiet and not viewer.open and not viewer.closing
+
     def _sweep(self, now: int) -> None:
-        self.timers.set(("sweep", None), now + bounds.SWEEP)
-        for viewer in list(self.viewers):
-            if viewer.closing:
-                continue
-            if not viewer.spoke and now - viewer.began >= bounds.MUTE:
+        for viewer in self.stale(now):
+            if not viewer.spoke:
                 self._shut(now, viewer, 408, "no request came")
-            elif not viewer.open and now - viewer.heard >= bounds.IDLE:
+            else:
                 viewer.closing = True
                 self.orders.answer.append(viewer)
+        self._sweep_at = now + bounds.SWEEP
+        self.timers.set(("sweep", None), self._sweep_at)
 
     def _served(self, now: int, viewer: Viewer) -> None:
         """A session stands through this connection: somebody reads it, and takes what waited for such a one."""
@@ -538,6 +551,11 @@
         self.timers.drop(("partial", link))
         self.orders.part.append(link)
 
+    def askers(self, link: Link) -> list[Viewer]:
+        """The viewers' connections whose set-ups wait on a connection to a host, in the order of these."""
+        waiting = (one.session.viewer for one in link.out if not isinstance(one, bytes))
+        return list(dict.fromkeys(viewer for viewer in waiting if viewer is not None))
+
     def frames(self, now: int, link: Link) -> tuple[bytes, bool]:
         """What waits on a connection, as one piece; from here on it may have left. With it, whether an attempt is
         given up by it."""
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -19,7 +19,7 @@
 class Viewer:
     """A viewers' connection. `open` are the set-ups on it that have no answer yet, `heard` when its last request
     came, `spoke` whether any that made sense came at all, `served` when a session last began to stand through it (-1:
-    never): those are the connections that somebody reads."""
+    never): those are the connections that somebody reads. `unsent`: some of what was said to it has not left yet."""
 
     number: int
     wire: Connection = field(default_factory=lambda: Connection(VIEWER_LIMITS))
@@ -30,6 +30,7 @@
     spoke: bool = False
     served: int = -1
     errors: int = 0
+    unsent: bool = False
     closing: bool = False
     closed: bool = False
 
--- a/copperyard/gateway/net.py
+++ b/copperyard/gateway/net.py
@@ -8,6 +8,8 @@
 
 import trio
 
+# what a system out of descriptors or memory says for a while, which may not end a listener
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 CLOSED = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -41,7 +43,10 @@
     address: str
 
     async def accept(self) -> Stream:
-        """The next connection."""
+        """The next connection; trio.ClosedResourceError once the listener is closed."""
+
+    def accept_now(self) -> Stream | None:
+        """The next connection that waits already, None where none does or no descriptor is free."""
 
     def close(self) -> None:
         """Listen no more."""
@@ -114,28 +119,51 @@
 class TcpListener:
     """A listening TCP socket."""
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    def __init__(self, sock: plain.socket) -> None:
         self._sock = sock
+        sock.setblocking(False)
         host, port = sock.getsockname()[:2]
         self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
     async def accept(self) -> TcpStream:
+        await trio.lowlevel.checkpoint()
         while True:
+            if self._sock.fileno() < 0:
+                raise trio.ClosedResourceError("the listener was closed")
             try:
-                sock, peer = await self._sock.accept()
-                return TcpStream(_plain(sock), f"{peer[0]}:{peer[1]}")
+                return self._take()
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._sock)
             except OSError as error:
-                # a peer that was gone before it was accepted, or no file descriptors for a while: neither may
-                # end the listener
+                if error.errno not in NO_ROOM:
+                    raise
+                await trio.sleep(0.1)
+
+    def accept_now(self) -> TcpStream | None:
+        try:
+            return self._take()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            if error.errno not in NO_ROOM:
+                raise
+            return None
+
+    def _take(self) -> TcpStream:
+        while True:
+            try:
+                sock, peer = self._sock.accept()
+            except OSError as error:
+                # a peer that was gone before it was accepted
                 if error.errno in (errno.ECONNABORTED, errno.EPERM, errno.EPROTO):
                     continue
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    await trio.sleep(0.1)
-                    continue
                 raise
+            return TcpStream(sock, f"{peer[0]}:{peer[1]}")
 
     def close(self) -> None:
-        self._sock.close()
+        if self._sock.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._sock)
+            self._sock.close()
 
 
 class TcpNetwork:
@@ -164,7 +192,7 @@
         except BaseException:
             sock.close()
             raise
-        return TcpListener(sock)
+        return TcpListener(_plain(sock))
 
 
 def _plain(sock: trio.socket.SocketType) -> plain.socket:
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -76,6 +76,7 @@
         self._reading: dict[Viewer, trio.CancelScope] = {}
         self._timer = Signal()
         self._wake_at: int | None = None
+        self._quiet = Signal()
         self._busy = self._ending = False
 
     async def run(self, task_status: TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
@@ -87,7 +88,7 @@
             self._nursery = nursery
             self.names = NameFollower(self.core, self.datagrams, place.dns, self.rng, self.carry_out)
             self.core.start(now(), fleet.start(place.serial, place.events))
-            listener = await self.network.listen(place.listen)
+            self._listener = listener = await self.network.listen(place.listen)
             try:
                 self.address = listener.address
                 nursery.start_soon(self.names.run)
@@ -96,16 +97,53 @@
                 task_status.started(listener.address)
                 while True:
                     self._accepted(await listener.accept())
+                    self._accept_waiting(bounds.MOST_LOOKS)
+                    self.carry_out()
+            except trio.ClosedResourceError:
+                await trio.sleep_forever()  # at the planned end: what is left still leaves
             finally:
                 listener.close()
 
+    def _accept_waiting(self, most: int) -> int:
+        """Take connections that wait to be accepted, at most so many; how many there were."""
+        for taken in range(most):
+            stream = self._listener.accept_now()
+            if stream is None:
+                return taken
+            self._accepted(stream)
+        return most
+
     def _accepted(self, stream: Stream) -> None:
-        taken, spare = self.core.makes_room(now(), len(self._callers))
-        if spare is not None:
-            self._callers[spare].broke()
-        if not taken:
+        for _ in range(bounds.MOST_LOOKS):
+            if self.core.has_room(len(self._callers)):
+                break
+            spare = self.core.spare()
+            if spare is None:
+                return stream.close()
+            if self._look(spare) and not spare.closed:
+                self.carry_out()  # it has just said something, and is not the one that is missed least any more
+            else:
+                self._dismiss(spare)
+        else:
             return stream.close()
-        self._nursery.start_soon(self._serve, stream)
+        viewer = self.core.viewer_came(now())
+        scope = trio.CancelScope()
+        # known from here on, not from when its task comes to run: several are accepted in one turn
+        self._callers[viewer] = Pipe(stream, self._nursery, scope.cancel, bounds.VIEWER_STALL, bounds.VIEWER_REST,
+                                     lambda: self._emptied(viewer))
+        self._reading[viewer] = trio.CancelScope()
+        self._nursery.start_soon(self._serve, viewer, scope)
+
+    def _dismiss(self, viewer: Viewer) -> None:
+        """Close a client's connection at once, nothing being open or unread there."""
+        self.core.viewer_left(now(), viewer)
+        pipe = self._callers.pop(viewer, None)
+        if pipe is not None:
+            pipe.stream.close()
+            pipe.broke()
+
+    def _emptied(self, viewer: Viewer) -> None:
+        viewer.unsent = False
 
     # ---- signals
 
@@ -125,15 +163,54 @@
 
     async def end(self) -> None:
         """Planned end: see what was taken through, then stop. The listener stays, as new connections keep coming."""
+        if self._ending:
+            return  # a second signal changes nothing
+        self._ending = True
         self.core.end(now())
         self.carry_out()
         with trio.move_on_after(bounds.END_MOST / 1e9):
             await trio.sleep(bounds.END_LEAST / 1e9)
-            self._ending = True
-            if not self.core.over:
-                await self.ended.wait()
+            while True:
+                while not self.core.over:
+                    await self._quiet.wait()
+                with trio.move_on_after(bounds.END_CLEAR / 1e9):
+                    await self._clear()
+                if self.core.over:
+                    break
+            await self._part_with_clients()
         self.ended.set()
 
+    async def _clear(self) -> None:
+        """Nothing is left of what was taken: what still lies unread, in the accept queue or on a connection, gets
+        its answer, and the last answers and releases leave."""
+        calm = 0
+        while calm < 2 and self.core.over:  # a connection accepted in one pass is read in the next
+            calm += 1
+            if self._accept_waiting(bounds.MOST_LOOKS):
+                calm = 0
+            for viewer in list(self._callers):
+                calm = 0 if self._look(viewer) else calm
+            self.carry_out()
+            if any(pipe.rest for pipe in (*self._callers.values(), *self._pipes.values())) or self.core.unsaid:
+                calm = 0
+            await trio.sleep(bounds.END_PASS / 1e9)
+
+    async def _part_with_clients(self) -> None:
+        """End each connection in order: a close over bytes that lie unread is a reset, which may throw away the last
+        answer at the other end. Whoever sends a request from here on sees that nobody took it."""
+        while self._accept_waiting(bounds.MOST_LOOKS):
+            pass
+        for viewer in list(self._callers):
+            self._look(viewer)
+        self.carry_out()
+        self._listener.close()
+        for pipe in self._callers.values():
+            if not pipe.rest:
+                pipe.stream.end_writing()
+        with trio.move_on_after(bounds.END_PART / 1e9):
+            while self._callers:
+                await self._quiet.wait()
+
     # ---- orders
 
     def carry_out(self) -> None:
@@ -170,7 +247,7 @@
         finally:
             self._busy = False
         if self._ending and self.core.over:
-            self.ended.set()
+            self._quiet.set()
         wake = self.core.next_wake()
         if wake is not None and (self._wake_at is None or wake < self._wake_at):
             self._timer.set()
@@ -183,6 +260,9 @@
             # what cannot leave yet waits in the core, where news of the list and time limits still reach it
             if not self._alive(link, pipe.stream):
                 return
+            self._look_at_clients(link)
+            if link.state is not State.UP:
+                return
             data, last = self.core.frames(now(), link)
             pipe.write(data)
         else:
@@ -216,17 +296,46 @@
     def _alive(self, link: Link, stream: Stream) -> bool:
         """Look whether a connection has ended unnoticed before a set-up is entrusted to it; one that was written to
         a closed connection could not be proved not to have run."""
-        reset = False
-        try:
-            data = stream.receive_now(bounds.READ)
-        except OSError:
-            data, reset = b"", True
-        if data is None:
-            return True
-        if data and self.core.link_said(now(), link, data) is None:
-            return True
-        self._close(link, reset)
-        return False
+        for _ in range(bounds.MOST_LOOKS):  # its end may lie behind what it said before
+            reset = False
+            try:
+                data = stream.receive_now(bounds.READ)
+            except OSError:
+                data, reset = b"", True
+            if data is None:
+                return True
+            if not data or self.core.link_said(now(), link, data) is not None:
+                self._close(link, reset)
+                return False
+        return True
+
+    def _look_at_clients(self, link: Link) -> None:
+        """Before set-ups leave on a connection: a client that has hung up or withdrawn its set-up starts nothing, also
+        where that lies unread behind a timer, a dial, a host's answer or a stall of this process."""
+        seen: set[Viewer] = set()
+        while fresh := [viewer for viewer in self.core.askers(link) if viewer not in seen]:
+            for viewer in fresh:
+                seen.add(viewer)
+                self._look(viewer)
+
+    def _look(self, viewer: Viewer) -> bool:
+        """Take what a client has sent and lies unread, its end included, without waiting; whether there was any."""
+        pipe = self._callers.get(viewer)
+        for n in range(bounds.MOST_LOOKS):
+            if pipe is None or viewer.closed or viewer.closing:
+                return n > 0
+            try:
+                data = pipe.stream.receive_now(bounds.VIEWER_READ)
+            except OSError:
+                data = b""
+            if data is None:
+                return n > 0
+            if not data:
+                self.core.viewer_left(now(), viewer)
+                pipe.broke()
+                return True
+            self.core.viewer_said(now(), viewer, data)
+        return True
 
     def _speak(self, viewer: Viewer) -> None:
         pipe = self._callers.get(viewer)
@@ -234,6 +343,7 @@
             data = bytes(viewer.out)
             viewer.out.clear()
             pipe.write(data)
+            viewer.unsent = bool(pipe.rest)
         if pipe is not None and viewer.closing and viewer in self._reading:
             self._reading[viewer].cancel()
 
@@ -245,6 +355,8 @@
                 await self._timer.wait()
             if self._wake_at is not None and now() >= self._wake_at:
                 self._catch_up()
+                for viewer in self.core.stale(now()):
+                    self._look(viewer)  # a request that lies unread keeps its connection
                 self.core.wake(now())
                 self._wake_at = None
                 self.carry_out()
@@ -262,27 +374,28 @@
 
     # ---- viewers
 
-    async def _serve(self, stream: Stream) -> None:
-        viewer = self.core.viewer_came(now())
-        scope = trio.CancelScope()
-        pipe = self._callers[viewer] = Pipe(stream, self._nursery, scope.cancel, bounds.VIEWER_STALL,
-                                            bounds.VIEWER_REST)
-        self._reading[viewer] = trio.CancelScope()
-        self.carry_out()
+    async def _serve(self, viewer: Viewer, scope: trio.CancelScope) -> None:
+        pipe = self._callers.get(viewer)
         try:
+            if pipe is None:
+                return  # it has made room for another one already
             with scope:
                 with self._reading[viewer]:
-                    await self._listen(viewer, stream)
+                    await self._listen(viewer, pipe.stream)
                 if viewer.closing:
                     with trio.move_on_after(bounds.SEE_OFF / 1e9):
                         await self._see_off(pipe)
         except CLOSED:
             pass
         finally:
-            del self._callers[viewer], self._reading[viewer]
-            stream.close()
+            self._callers.pop(viewer, None)
+            del self._reading[viewer]
+            if pipe is not None:
+                pipe.stream.close()
             self.core.viewer_left(now(), viewer)
             self.carry_out()
+            if not self._callers:
+                self._quiet.set()
 
     async def _listen(self, viewer: Viewer, stream: Stream) -> None:
         while not viewer.closing:
--- a/copperyard/lab/faultnet.py
+++ b/copperyard/lab/faultnet.py
@@ -78,6 +78,10 @@
         stream = await self._inner.accept()
         return HeldStream(stream, lambda: self._network.standing)
 
+    def accept_now(self) -> Stream | None:
+        stream = self._inner.accept_now()
+        return HeldStream(stream, lambda: self._network.standing) if stream is not None else None
+
     def close(self) -> None:
         self._inner.close()
 
--- a/copperyard/lab/memnet.py
+++ b/copperyard/lab/memnet.py
@@ -171,6 +171,9 @@
             await self._ready.wait()
         return self._queue.popleft()
 
+    def accept_now(self) -> MemoryStream | None:
+        return self._queue.popleft() if self._queue and not self._closed else None
+
     def arrive(self, stream: MemoryStream) -> bool:
         if self._closed or len(self._queue) >= self._network.manners.backlog:
             return False
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -348,9 +348,8 @@
     desk.hang_up(viewer)
     desk.host_says(link, release(sid(1)))
     assert desk.statuses(other) == ["TEARDOWN"]
-    taken, spare = desk.core.makes_room(desk.now, 128)  # and it is not the one that makes room
-    assert taken and spare in stayed
-    assert desk.core.makes_room(desk.now, 127) == (True, None)
+    assert not desk.core.has_room(128) and desk.core.spare() in stayed  # and it is not the one that makes room
+    assert desk.core.has_room(127)
 
 
 def test_what_waits_for_a_connection_to_a_host_that_drains_goes_elsewhere():
--- /dev/null
+++ b/tests/gateway/node/sockets.py
@@ -0,0 +1,223 @@
+"""A node on real loopback sockets in this process, its hosts and clients as plain sockets that a test holds in hand.
+
+`Gated` keeps a client's bytes from the node's reader for as long as a test wants, as a process that is behind does:
+what the client says, and its end, lie unread in the kernel meanwhile.
+"""
+
+import copy
+import socket
+import struct
+import time
+
+import trio
+
+from copperyard.gateway.net import TcpNetwork
+from copperyard.gateway.node.daemon import Node
+from copperyard.gateway.node.place import parse_place
+from copperyard.protocol.node.messages import Kind
+from copperyard.protocol.rtsp import Connection
+from tests.control.node.helpers import LIMITS, MS, OPTIONS, answer, messages, release
+
+
+class GatedStream:
+    def __init__(self, inner, network):
+        self.inner, self.network, self.peer = inner, network, inner.peer
+        self.receive_now, self.send_now, self.send_some = inner.receive_now, inner.send_now, inner.send_some
+        self.end_writing, self.close = inner.end_writing, inner.close
+
+    async def receive_some(self, most):
+        while True:
+            await trio.lowlevel.wait_readable(self.inner._sock)
+            if not self.network.shut.is_set():
+                return await self.inner.receive_some(most)
+            await self.network.open.wait()
+
+
+class GatedListener:
+    def __init__(self, inner, network):
+        self.inner, self.network, self.address = inner, network, inner.address
+        self.close = inner.close
+
+    async def accept(self):
+        return GatedStream(await self.inner.accept(), self.network)
+
+    def accept_now(self):
+        stream = self.inner.accept_now()
+        return GatedStream(stream, self.network) if stream is not None else None
+
+
+class Gated(TcpNetwork):
+    """`shut`: the node's reader of clients' connections gets nothing; `dials`: connections to hosts wait for it.
+    `narrow`: the node's own buffer towards hosts is as small as the system allows."""
+
+    def __init__(self):
+        super().__init__()
+        self.shut, self.open, self.dials = trio.Event(), trio.Event(), trio.Event()
+        self.dials.set()
+        self.narrow = False
+
+    async def listen(self, address):
+        return GatedListener(await super().listen(address), self)
+
+    async def connect(self, address):
+        stream = await super().connect(address)
+        if self.narrow:
+            stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+        await self.dials.wait()
+        return stream
+
+
+class Host:
+    """A media host: what it was sent, in order; `says` gives what it answers to a set-up, None for silence."""
+
+    def __init__(self, name, narrow):
+        self.name, self.got, self.says, self.reads = name, [], answer, trio.Event()
+        self.reads.set()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        if narrow:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        self.streams = []
+
+    @property
+    def setups(self):
+        return [session for kind, session, _ in self.got if kind == Kind.SETUP]
+
+    @property
+    def releases(self):
+        return [session for kind, session, _ in self.got if kind == Kind.RELEASE]
+
+    async def run(self, nursery):
+        while True:
+            await trio.lowlevel.wait_readable(self.listener)
+            sock, _ = self.listener.accept()
+            sock.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            self.streams.append(stream)
+            nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream):
+        data = b""
+        try:
+            while True:
+                await self.reads.wait()
+                more = await stream.receive_some(65536)
+                if not more:
+                    return
+                data += more
+                while len(data) > 1 and len(data) >= 2 + int.from_bytes(data[:2], "big"):
+                    end = 2 + int.from_bytes(data[:2], "big")
+                    (one,), data = messages(data[:end]), data[end:]
+                    self.got.append(one)
+                    back = self.says(one[1]) if one[0] == Kind.SETUP else None
+                    if back:
+                        await stream.send_all(back)
+        except trio.BrokenResourceError:
+            pass
+
+
+class Client:
+    """A client on a plain socket: everything it does is done when the call returns."""
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.sock = socket.create_connection((host, int(port)), 5)
+        self.sock.setblocking(False)
+        self.wire, self.heard, self.at_end = Connection(LIMITS), [], False
+
+    def send(self, data):
+        assert self.sock.send(data) == len(data)
+
+    def half_close(self):
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self):
+        self.sock.close()
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    async def answers(self, count, most=5.0):
+        """The next `count` messages: statuses, or methods; fewer where the connection ends before."""
+        with trio.fail_after(most):
+            while len(self.heard) < count and not self.at_end:
+                try:
+                    data = self.sock.recv(65536)
+                except BlockingIOError:
+                    await trio.lowlevel.wait_readable(self.sock)
+                    continue
+                self.at_end = not data
+                self.heard += self.wire.receive(data)
+        first, self.heard = self.heard[:count], self.heard[count:]
+        return [one.response.status if hasattr(one, "response") else one.method for one in first]
+
+
+class World:
+    """A node with `hosts` that hold all titles. `contract`, `extra` change the settings; a host is warm after 50 ms
+    unless they say otherwise; `fresh` ones have just started."""
+
+    def __init__(self, nursery, hosts=2, sockets=256, narrow=False, fresh=False, contract=None, extra=None, **options):
+        settings = copy.deepcopy(OPTIONS)
+        settings["contract"] |= {"warmWithin": 50 * MS, **(contract or {})}
+        settings["extra"] |= extra or {}
+        settings |= options
+        self.nursery, self.network, self.lines = nursery, Gated(), []
+        self.network.narrow = narrow
+        self.hosts = [Host(f"s-{n}", narrow) for n in range(hosts)]
+        self.names = socket.socket(type=socket.SOCK_DGRAM)
+        self.names.bind(("127.0.0.1", 0))
+        self.names.setblocking(False)
+        since = round(time.time() * 1e3) - 10 if fresh else 0
+        members = [{"id": host.name, "host_port": f"127.0.0.1:{host.port}", "locality": "catania", "cell": n,
+                    "flavor": "three-core", "phase": "Ready", "size": 1, "up_since_ms": since}
+                   for n, host in enumerate(self.hosts)]
+        place = parse_place("n0", "127.0.0.1:0", {
+            "seed": "8c1f30d27a5be964", "limits": {"sockets": sockets}, "settings": settings,
+            "dns": f"127.0.0.1:{self.names.getsockname()[1]}",
+            "known": {"n": 1, "events": [{"members": {"complete": True, "members": members}}]}})
+        self.node = Node(place, self.network, lambda event, fields: self.lines.append((event, dict(fields))))
+
+    async def start(self):
+        for host in self.hosts:
+            self.nursery.start_soon(host.run, self.nursery)
+        await self.nursery.start(self.node.run)
+        await trio.sleep(0.1)
+
+    def client(self):
+        return Client(self.node.address)
+
+    @property
+    def setups(self):
+        return [session for host in self.hosts for session in host.setups]
+
+    async def until(self, so, most=5.0):
+        with trio.fail_after(most):
+            while not so():  # noqa: ASYNC110
+                await trio.sleep(0.002)
+
+    def hold_back(self):
+        """From here on the node's reader gets nothing of any client."""
+        self.network.open = trio.Event()
+        self.network.shut.set()
+
+    def is_clean(self):
+        """Nothing is held for anybody, neither in the ledger nor in a seat."""
+        core, module = self.node.core, self.node.core.module
+        return not (core.sessions or core.by_id or module.sessions or module.held or module.seats
+                    or any(server.link.own for server in module.servers.values()))
+
+
+def within(body, **more):
+    """Run `body(world)` with a node that has started."""
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, **more)
+            await world.start()
+            await body(world)
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
+__all__ = ["Client", "Gated", "Host", "World", "answer", "release", "within"]
