--- a/copperyard/gateway/node/__main__.py
+++ b/copperyard/gateway/node/__main__.py
@@ -16,9 +16,13 @@
 from .daemon import Node
 from .place import BadPlace, Place, read_place
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+
 
 def main() -> int:
     """Serve until killed; exit 2 with one line where the configuration is wrong."""
+    # a signal that comes before its receiver stands waits for it; it would end the process else
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         place = read_place(os.environ)
     except BadPlace as error:
@@ -32,13 +36,14 @@
 async def serve(place: Place) -> None:
     """Run the node; SIGHUP reads the configuration again, SIGTERM is the planned end."""
     node = Node(place, TcpNetwork(), Lines(LINES_A_SECOND))
-    # the handlers stand before the node is ready: a signal that comes first would end the process
-    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
             nursery.start_soon(_signals, signals, node, nursery)
             await node.ended.wait()
             nursery.cancel_scope.cancel()
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # one more changes nothing now
 
 
 async def _signals(signals: AsyncIterator[int], node: Node, nursery: trio.Nursery) -> None:
--- a/tests/control/node/helpers.py
+++ b/tests/control/node/helpers.py
@@ -50,8 +50,8 @@
             "Content-Length: 0\r\n\r\n").encode()
 
 
-def answer(session):
-    return encode(Kind.ANSWER, bytes.fromhex(session), ((Param.DESCRIPTION, b"d:" + session.encode()),))
+def answer(session, size=0):
+    return encode(Kind.ANSWER, bytes.fromhex(session), ((Param.DESCRIPTION, b"d:" + session.encode() + bytes(size)),))
 
 
 def release(session, cause=Cause.NORMAL):
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -5,9 +5,15 @@
 """
 
 import copy
+import json
+import os
+import signal
 import socket
 import struct
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import trio
 
@@ -39,16 +45,24 @@
         self.close = inner.close
 
     async def accept(self):
-        return GatedStream(await self.inner.accept(), self.network)
+        while True:
+            await trio.lowlevel.wait_readable(self.inner._sock)
+            if not self.network.shut.is_set():
+                return self._gated(await self.inner.accept())
+            await self.network.open.wait()
 
     def accept_now(self):
-        stream = self.inner.accept_now()
+        return self._gated(self.inner.accept_now())
+
+    def _gated(self, stream):
+        if stream is not None and self.network.narrow:
+            stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
         return GatedStream(stream, self.network) if stream is not None else None
 
 
 class Gated(TcpNetwork):
-    """`shut`: the node's reader of clients' connections gets nothing; `dials`: connections to hosts wait for it.
-    `narrow`: the node's own buffer towards hosts is as small as the system allows."""
+    """`shut`: the node's reader of clients' connections gets nothing, nor does what waits for new ones; `dials`:
+    connections to hosts wait for it. `narrow`: the node's own buffers are as small as the system allows."""
 
     def __init__(self):
         super().__init__()
@@ -113,16 +127,20 @@
                     back = self.says(one[1]) if one[0] == Kind.SETUP else None
                     if back:
                         await stream.send_all(back)
-        except trio.BrokenResourceError:
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
 
 class Client:
     """A client on a plain socket: everything it does is done when the call returns."""
 
-    def __init__(self, address):
+    def __init__(self, address, narrow=False):
         host, port = address.rsplit(":", 1)
-        self.sock = socket.create_connection((host, int(port)), 5)
+        self.sock = socket.socket()
+        if narrow:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        self.sock.settimeout(5)
+        self.sock.connect((host, int(port)))
         self.sock.setblocking(False)
         self.wire, self.heard, self.at_end = Connection(LIMITS), [], False
 
@@ -173,10 +191,11 @@
         members = [{"id": host.name, "host_port": f"127.0.0.1:{host.port}", "locality": "catania", "cell": n,
                     "flavor": "three-core", "phase": "Ready", "size": 1, "up_since_ms": since}
                    for n, host in enumerate(self.hosts)]
-        place = parse_place("n0", "127.0.0.1:0", {
+        self.config = {
             "seed": "8c1f30d27a5be964", "limits": {"sockets": sockets}, "settings": settings,
             "dns": f"127.0.0.1:{self.names.getsockname()[1]}",
-            "known": {"n": 1, "events": [{"members": {"complete": True, "members": members}}]}})
+            "known": {"n": 1, "events": [{"members": {"complete": True, "members": members}}]}}
+        place = parse_place("n0", "127.0.0.1:0", self.config)
         self.node = Node(place, self.network, lambda event, fields: self.lines.append((event, dict(fields))))
 
     async def start(self):
@@ -186,7 +205,7 @@
         await trio.sleep(0.1)
 
     def client(self):
-        return Client(self.node.address)
+        return Client(self.node.address, self.network.narrow)
 
     @property
     def setups(self):
@@ -198,10 +217,14 @@
                 await trio.sleep(0.002)
 
     def hold_back(self):
-        """From here on the node's reader gets nothing of any client."""
+        """From here on the node's reader gets nothing of any client, and no new connection is accepted by itself."""
         self.network.open = trio.Event()
         self.network.shut.set()
 
+    def let_go(self):
+        self.network.shut = trio.Event()
+        self.network.open.set()
+
     def is_clean(self):
         """Nothing is held for anybody, neither in the ledger nor in a seat."""
         core, module = self.node.core, self.node.core.module
@@ -209,6 +232,88 @@
                     or any(server.link.own for server in module.servers.values()))
 
 
+class Program:
+    """The node as a process, with hosts and a name service of this one. Stopped, what comes to it lies unread and what
+    it was to do in time becomes due: when it goes on, all of it meets in one instant."""
+
+    def __init__(self, nursery, path, hosts=1, pipe=False, **more):
+        self.world = World(nursery, hosts, **more)
+        self.path = path / "config.json"
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
+        if pipe:
+            os.mkfifo(self.path)
+        else:
+            self.path.write_text(json.dumps(self.world.config))
+        environ = {**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": self.address, "NODE_CONFIG": str(self.path)}
+        self.process = subprocess.Popen([sys.executable, "-m", "copperyard.gateway.node"], env=environ,
+                                        cwd=Path(__file__).parents[3], stderr=subprocess.PIPE, stdout=subprocess.PIPE)
+
+    async def start(self):
+        for host in self.world.hosts:
+            self.world.nursery.start_soon(host.run, self.world.nursery)
+        with trio.fail_after(30):
+            while True:
+                try:
+                    Client(self.address).close()
+                    break
+                except ConnectionRefusedError:
+                    assert self.process.poll() is None, self.process.communicate()
+                    await trio.sleep(0.02)
+        await trio.sleep(0.2)
+
+    def client(self):
+        return Client(self.address)
+
+    def signal(self, number):
+        os.kill(self.process.pid, number)
+
+    async def stopped(self):
+        self.signal(signal.SIGSTOP)
+        with trio.fail_after(5):
+            while Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(") ", 1)[1][0] != "T":  # noqa: ASYNC110
+                await trio.sleep(0.001)
+
+    async def reads(self):
+        """Until it waits for its configuration."""
+        with trio.fail_after(20):
+            while True:
+                try:
+                    self.end = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+                    return
+                except OSError:  # nobody reads yet
+                    await trio.sleep(0.002)
+
+    async def feed(self):
+        """Let it have its configuration."""
+        os.write(self.end, json.dumps(self.world.config).encode())
+        os.close(self.end)
+        await trio.sleep(0.05)
+
+    async def exit(self, most=10.0):
+        """Its exit code and what it wrote."""
+        with trio.fail_after(most):
+            while self.process.poll() is None:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+        out, err = self.process.communicate()
+        return self.process.returncode, (out + err).decode()
+
+
+def beside(path, body, **more):
+    """Run `body(program)` beside a node that has started as a process."""
+    async def main():
+        async with trio.open_nursery() as nursery:
+            program = Program(nursery, path, **more)
+            try:
+                await program.start()
+                await body(program)
+            finally:
+                program.process.kill()
+                program.process.wait()
+            nursery.cancel_scope.cancel()
+    trio.run(main)
+
+
 def within(body, **more):
     """Run `body(world)` with a node that has started."""
     async def main():
@@ -220,4 +325,4 @@
     trio.run(main)
 
 
-__all__ = ["Client", "Gated", "Host", "World", "answer", "release", "within"]
+__all__ = ["Client", "Gated", "Host", "World", "answer", "beside", "release", "within"]
--- a/tests/gateway/node/test_gone.py
+++ b/tests/gateway/node/test_gone.py
@@ -51,8 +51,7 @@
     await trio.sleep(0.2)
     left = [session for session in world.setups if session not in (sid(1), sid(99))]
     assert not left, left
-    world.network.shut = trio.Event()
-    world.network.open.set()
+    world.let_go()
 
 
 @WAYS
@@ -89,8 +88,7 @@
         await first.streams[0].send_all(release(sid(1), Cause.ERROR))
         await trio.sleep(0.2)
         assert world.setups == [sid(1)]
-        world.network.shut = trio.Event()
-        world.network.open.set()
+        world.let_go()
         await world.until(world.is_clean)
     within(body)
 
