--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -725,10 +725,11 @@
         if bad is not None:
             self.line("host speaks nonsense", host=link.host.name, text=str(bad))
             self._spoilt(now, link)
-        elif link.decoder.partial and link.state is State.UP:
-            self.timers.set(("partial", link), now + self.settings.connect_timeout)
-        else:
+        elif not link.decoder.partial or link.state is not State.UP:
             self.timers.drop(("partial", link))
+        elif messages or ("partial", link) not in self.timers:
+            # from when it began: a host that gives a byte now and then must not hold the connection for good
+            self.timers.set(("partial", link), now + self.settings.connect_timeout)
         return bad
 
     def _message(self, now: int, link: Link, message: Message) -> None:
--- a/copperyard/control/timers.py
+++ b/copperyard/control/timers.py
@@ -26,6 +26,9 @@
             self._heap = [(when, n, k) for k, (when, n) in self._live.items()]
             heapq.heapify(self._heap)
 
+    def __contains__(self, key: Hashable) -> bool:
+        return key in self._live
+
     def drop(self, key: Hashable) -> None:
         self._live.pop(key, None)
 
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -47,7 +47,7 @@
     async def accept(self):
         while True:
             await trio.lowlevel.wait_readable(self.inner._sock)
-            if not self.network.shut.is_set():
+            if not (self.network.shut.is_set() and self.network.accepts_none):
                 return self._gated(await self.inner.accept())
             await self.network.open.wait()
 
@@ -68,7 +68,7 @@
         super().__init__()
         self.shut, self.open, self.dials = trio.Event(), trio.Event(), trio.Event()
         self.dials.set()
-        self.narrow = False
+        self.narrow = self.accepts_none = False
 
     async def listen(self, address):
         return GatedListener(await super().listen(address), self)
@@ -92,7 +92,12 @@
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
-        self.streams = []
+        self.streams, self.lock = [], trio.Lock()
+
+    async def say(self, data):
+        """On the first connection that it has."""
+        async with self.lock:
+            await self.streams[0].send_all(data)
 
     @property
     def setups(self):
@@ -126,7 +131,8 @@
                     self.got.append(one)
                     back = self.says(one[1]) if one[0] == Kind.SETUP else None
                     if back:
-                        await stream.send_all(back)
+                        async with self.lock:
+                            await stream.send_all(back)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
@@ -216,8 +222,9 @@
             while not so():  # noqa: ASYNC110
                 await trio.sleep(0.002)
 
-    def hold_back(self):
+    def hold_back(self, accepts_none=True):
         """From here on the node's reader gets nothing of any client, and no new connection is accepted by itself."""
+        self.network.accepts_none = accepts_none
         self.network.open = trio.Event()
         self.network.shut.set()
 
--- a/tests/gateway/node/test_end.py
+++ b/tests/gateway/node/test_end.py
@@ -51,7 +51,7 @@
         world.hold_back()
         two.send(setup(sid(2)))
         one.send(PING)
-        await host.streams[0].send_all(release(sid(1), Cause.ERROR))  # a paid one that may have run: it has failed
+        await host.say(release(sid(1), Cause.ERROR))  # a paid one that may have run: it has failed
         assert await one.answers(3) == [500, 503] and await two.answers(2) == [503]
         with trio.fail_after(3):
             await world.node.ended.wait()
@@ -182,9 +182,9 @@
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             program.signal(number)
         await trio.sleep(1.5)
-        await host.streams[0].send_all(answer(sid(2)))
+        await host.say(answer(sid(2)))
         assert await two.answers(1) == [200]
-        await host.streams[0].send_all(release(sid(1)))
+        await host.say(release(sid(1)))
         assert await one.answers(1) == ["TEARDOWN"]
         assert program.process.poll() is None
         two.send(teardown(sid(2), "Reason: cause=16\r\n"))
--- a/tests/gateway/node/test_gone.py
+++ b/tests/gateway/node/test_gone.py
@@ -85,7 +85,7 @@
         first = next(host for host in world.hosts if host.setups)
         world.hold_back()
         goes(client, 1)
-        await first.streams[0].send_all(release(sid(1), Cause.ERROR))
+        await first.say(release(sid(1), Cause.ERROR))
         await trio.sleep(0.2)
         assert world.setups == [sid(1)]
         world.let_go()
