Descriptors at the system's own limit; discovery late, wrong or moved, and floods, on sockets

Seen: with 1,024 descriptors in the configuration and 64 allowed by the system, idle clients used up all (failing on: accept at EMFILE each 100 ms, nothing left for hosts or the name service). Now the smaller of the two counts, under 64 the program says so and ends with 2, and the log tells once when clients' connections are at their bound and once when a quarter is free again. Ruled out, each by a test on sockets that passes before and after: answers of the name service that are late, cut off, empty, truncated, older or under another id; a move while an answer lies unread; news that lie unread while a dial completes (the service's reader held back); ten connections that pump 300 set-ups and withdrawals each beside 200 that come and go: 15 of 15 usual clients' set-ups answered 200 in time.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -98,6 +98,7 @@
         self._numbers = 0
         self._ending: int | None = None
         self._sweep_at = 0
+        self._crowded = False
         self._rng = random.Random(seed)
         self._doubted = -bounds.DOUBT
         self._feed = Feed(lambda: self.module, {
@@ -132,8 +133,15 @@
 
     def has_room(self, connections: int) -> bool:
         """Whether viewers may have one more connection beside `connections`. Beyond their share it takes the place of
-        `spare`; where there is none, it is not taken."""
-        return connections < bounds.viewers_share(self.sockets)
+        `spare`; where there is none, it is not taken. The log hears once that it is so, until a quarter is free."""
+        share = bounds.viewers_share(self.sockets)
+        if connections >= share and not self._crowded:
+            self._crowded = True
+            self.line("clients' connections at their bound", connections=connections, bound=share)
+        elif connections < share * 3 // 4 and self._crowded:
+            self._crowded = False
+            self.line("clients' connections under their bound again", connections=connections)
+        return connections < share
 
     def may_dial(self, connections: int) -> bool:
         """Whether there is a descriptor for one more connection to a host."""
--- a/copperyard/gateway/node/__main__.py
+++ b/copperyard/gateway/node/__main__.py
@@ -4,13 +4,15 @@
 
 import gc
 import os
+import resource
 import signal
 import sys
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import trio
 
-from ...control.node.bounds import LINES_A_SECOND
+from ...control.node.bounds import LEAST_SOCKETS, LINES_A_SECOND
 from ...telemetry.lines import Lines
 from ..net import TcpNetwork
 from .daemon import Node
@@ -24,7 +26,7 @@
     # a signal that comes before its receiver stands waits for it; it would end the process else
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
-        place = read_place(os.environ)
+        place = bounded(read_place(os.environ), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     except BadPlace as error:
         print(f"copperyard node: {error}", file=sys.stderr)
         return 2
@@ -33,6 +35,15 @@
     return 0
 
 
+def bounded(place: Place, descriptors: int) -> Place:
+    """The configuration with no more sockets than the system lets this process hold; all bounds come from these."""
+    if descriptors == resource.RLIM_INFINITY or descriptors >= place.sockets:
+        return place
+    if descriptors < LEAST_SOCKETS:
+        raise BadPlace(f"the system allows {descriptors} open files, under {LEAST_SOCKETS}")
+    return replace(place, sockets=descriptors)
+
+
 async def serve(place: Place) -> None:
     """Run the node; SIGHUP reads the configuration again, SIGTERM is the planned end."""
     node = Node(place, TcpNetwork(), Lines(LINES_A_SECOND))
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -243,7 +243,7 @@
     """The node as a process, with hosts and a name service of this one. Stopped, what comes to it lies unread and what
     it was to do in time becomes due: when it goes on, all of it meets in one instant."""
 
-    def __init__(self, nursery, path, hosts=1, pipe=False, **more):
+    def __init__(self, nursery, path, hosts=1, pipe=False, preexec=None, **more):
         self.world = World(nursery, hosts, **more)
         self.path = path / "config.json"
         with socket.create_server(("127.0.0.1", 0)) as probe:
@@ -251,10 +251,11 @@
         if pipe:
             os.mkfifo(self.path)
         else:
-            self.path.write_text(json.dumps(self.world.config))
+            self.write()
         environ = {**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": self.address, "NODE_CONFIG": str(self.path)}
         self.process = subprocess.Popen([sys.executable, "-m", "copperyard.gateway.node"], env=environ,
-                                        cwd=Path(__file__).parents[3], stderr=subprocess.PIPE, stdout=subprocess.PIPE)
+                                        cwd=Path(__file__).parents[3], stderr=subprocess.PIPE, stdout=subprocess.PIPE,
+                                        preexec_fn=preexec)
 
     async def start(self):
         for host in self.world.hosts:
@@ -281,6 +282,10 @@
             while Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(") ", 1)[1][0] != "T":  # noqa: ASYNC110
                 await trio.sleep(0.001)
 
+    def write(self):
+        """Its configuration, as it now is."""
+        self.path.write_text(json.dumps(self.world.config))
+
     async def reads(self):
         """Until it waits for its configuration."""
         with trio.fail_after(20):
--- a/tests/protocol/node/test_fleet.py
+++ b/tests/protocol/node/test_fleet.py
@@ -14,15 +14,15 @@
 NAME = "_work._tcp.fleet.local."
 
 
-def reply(asked, serial, hosts, flags=0):
+def reply(asked, serial, hosts, flags=0, address="10.1.0.9", cell=2):
     message = dns.message.make_response(dns.message.from_wire(asked))
     message.flags |= flags
     for name, port, priority in hosts:
         target = f"{name}.east.hosts."
         message.answer.append(dns.rrset.from_text(NAME, 0, "IN", "SRV", f"{priority} 40 {port} {target}"))
         message.additional += [
-            dns.rrset.from_text(target, 0, "IN", "A", "10.1.0.9"),
-            dns.rrset.from_text(target, 0, "IN", "TXT", '"kind=std" "cell=2" "started=0"')]
+            dns.rrset.from_text(target, 0, "IN", "A", address),
+            dns.rrset.from_text(target, 0, "IN", "TXT", f'"kind=std" "cell={cell}" "started=0"')]
     message.authority.append(dns.rrset.from_text(NAME, 0, "IN", "SOA", f"a. b. {serial} 1 1 1 1"))
     return message.to_wire()
 
