--- a/copperyard/settings.py
+++ b/copperyard/settings.py
@@ -21,7 +21,9 @@
         self.raw, self.path = raw, path
 
     def _fault(self, key: str, what: str) -> ValueError:
-        return ValueError(f"settings: {self.path}{key} {what}")
+        """Place, fault and value, on one line."""
+        told = f": {str(self.raw[key])[:60]!r}" if key in self.raw else ""
+        return ValueError(f"settings: {self.path}{key} {what}{told}")
 
     def part(self, key: str, optional: bool = False) -> _Reader:
         value = self.raw.get(key, {} if optional else None)
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -82,7 +82,8 @@
 
 
 class Host:
-    """A media host: what it was sent, in order; `says` gives what it answers to a set-up, None for silence."""
+    """A media host: what it was sent, in order; `says` gives what it answers to a set-up, None for silence;
+    with `!close` or `!reset` at its end it ends the connection so."""
 
     def __init__(self, name, narrow):
         self.name, self.got, self.says, self.reads = name, [], answer, trio.Event()
@@ -131,8 +132,13 @@
                     self.got.append(one)
                     back = self.says(one[1]) if one[0] == Kind.SETUP else None
                     if back:
+                        back, mark, how = back.partition(b"!")
                         async with self.lock:
                             await stream.send_all(back)
+                        if mark and how == b"reset":
+                            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        if mark and how in (b"reset", b"close"):
+                            return stream.socket.close()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
