--- a/copperyard/membership/fleet.py
+++ b/copperyard/membership/fleet.py
@@ -62,6 +62,7 @@
 
     def _line(self, host: Host, state: ServerState) -> ServerEntry:
         zone = self.zones.index(host.zone) if host.zone in self.zones else 0
-        kind = self.kinds.index(host.kind) if host.kind in self.kinds else 0
+        # a kind that the settings do not name is past their last one: the module takes the fewest places for it
+        kind = self.kinds.index(host.kind) if host.kind in self.kinds else len(self.kinds)
         started = max(1, host.started * MS - self.unix) if host.started else 0
         return ServerEntry(self.numbers[host.name], host.weight, kind, host.cell, zone, state, started)
--- a/tests/protocol/node/test_fleet.py
+++ b/tests/protocol/node/test_fleet.py
@@ -7,9 +7,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from copperyard.decide import Controller
 from copperyard.interface import ListKind, ServerState
 from copperyard.membership.fleet import Fleet
 from copperyard.protocol.node.fleet import BadAnswer, Host, parse_answer, parse_known, query
+from copperyard.settings import parse_settings
+from tests.control.node.helpers import OPTIONS
 
 NAME = "_work._tcp.fleet.local."
 
@@ -83,3 +86,12 @@
 def test_a_configuration_without_a_list_says_so(known):
     with pytest.raises(BadAnswer):
         parse_known(known)
+
+
+def test_a_kind_that_the_settings_do_not_name_gets_the_fewest_places():
+    """It used to pass for the first kind, whose places it may not have."""
+    raw = {**OPTIONS, "kinds": ["big", "small"], "extra": {**OPTIONS["extra"], "placesByKind": [50, 3]}}
+    fleet = Fleet(("east",), ("big", "small"), 0)
+    module = Controller(parse_settings(raw), 1)
+    module.handle(1, fleet.start(1, [(True, (line("a", kind="big"), line("b", kind="small"), line("c", kind="new")))]))
+    assert [module.servers[n].places for n in range(3)] == [50, 3, 3]
