A release is not told to a connection whose end lies unread, but where somebody reads

NodeCore._to_viewers chose by closed/closing, which the unread end had not set yet. Now what wants no answer (Viewer.notices) is preceded by a look at its connection, and goes to another one, or waits for the next, where that has ended.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -255,6 +255,9 @@
         self.viewers.pop(viewer, None)
         for session in list(viewer.open.values()):
             self._given_up(now, session)
+        notices, viewer.notices = viewer.notices, []
+        for data in notices:  # what had not left yet is told where somebody reads
+            self._to_viewers(None, data)
 
     def _shut(self, now: int, viewer: Viewer, status: int, text: str) -> None:
         """Close a connection that cannot be followed any further, or should not. Set-ups open on it get no answer any
@@ -500,7 +503,7 @@
             self.moved[session.wish.viewer] = None
         while len(self.moved) > bounds.MOST_MOVED:
             del self.moved[next(iter(self.moved))]
-        self._to_viewers(session, words.redirect(session.name))
+        self._to_viewers(session.viewer, words.redirect(session.name))
         self._end(now, session, Code.CANCELLED, Cause.CANCELLED, False, tell_host=True)
 
     def _probe(self, now: int, action: Action) -> None:
@@ -847,15 +850,14 @@
         if tell_host:
             self._tell(now, host, _release(session.wish.session, cause))
         if owed:
-            self._to_viewers(session, words.teardown(session.name, cause))
+            self._to_viewers(session.viewer, words.teardown(session.name, cause))
         self._feed(now, Outcome(session.ref, session.attempts - 1, host.server, code, now - session.since, True,
                                 report))
         self._tidy(host)
 
-    def _to_viewers(self, session: Session, data: bytes) -> None:
-        """To the session's viewer, on its own connection or another one through which sessions came to stand; where
+    def _to_viewers(self, viewer: Viewer | None, data: bytes) -> None:
+        """To a session's viewer, on its own connection or another one through which sessions came to stand; where
         there is none, on the next such one."""
-        viewer = session.viewer
         if viewer is None or viewer.closed or viewer.closing:
             # not any other: most may be of clients that asked once and stayed, who read nothing any more
             readable = [one for one in self.viewers if one.served >= 0 and not one.closing]
@@ -863,6 +865,7 @@
         if viewer is None:
             self.owed.append(data)
         else:
+            viewer.notices.append(data)
             self._say(viewer, data)
 
     def _remember(self, id: bytes, host: HostState) -> None:
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -19,7 +19,8 @@
 class Viewer:
     """A viewers' connection. `open` are the set-ups on it that have no answer yet, `heard` when its last request
     came, `spoke` whether any that made sense came at all, `served` when a session last began to stand through it (-1:
-    never): those are the connections that somebody reads. `unsent`: some of what was said to it has not left yet."""
+    never): those are the connections that somebody reads. `unsent`: some of what was said to it has not left yet;
+    `notices`: what wants no answer, and so must not be lost with the connection, of what is in `out`."""
 
     number: int
     wire: Connection = field(default_factory=lambda: Connection(VIEWER_LIMITS))
@@ -30,6 +31,7 @@
     spoke: bool = False
     served: int = -1
     errors: int = 0
+    notices: list[bytes] = field(default_factory=list)
     unsent: bool = False
     closing: bool = False
     closed: bool = False
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -339,7 +339,10 @@
 
     def _speak(self, viewer: Viewer) -> None:
         pipe = self._callers.get(viewer)
-        if pipe is not None and viewer.out:
+        if pipe is not None and viewer.notices:
+            self._look(viewer)  # a client that has gone does not hear that its session is over; another may tell it
+            viewer.notices.clear()
+        if pipe is not None and viewer.out and not viewer.closed:
             data = bytes(viewer.out)
             viewer.out.clear()
             pipe.write(data)
--- a/tests/gateway/node/test_gone.py
+++ b/tests/gateway/node/test_gone.py
@@ -187,3 +187,22 @@
         assert await two.answers(1) == [200]
     within(body, hosts=1)
 
+
+
+@pytest.mark.parametrize("goes", [closes, resets, half_closes])
+def test_a_release_is_not_told_to_a_connection_whose_end_lies_unread(goes):
+    """Its session stands on, as no connection owns one: whatever ends it is told where somebody reads."""
+    async def body(world):
+        (host,) = world.hosts
+        one, two = world.client(), world.client()
+        for n, client in ((1, one), (2, two)):
+            client.send(setup(sid(n)))
+            assert await client.answers(1) == [200]
+        world.hold_back()
+        goes(one, 1)
+        await host.say(release(sid(1)))
+        assert await two.answers(1) == ["TEARDOWN"]
+        world.let_go()
+        two.send(teardown(sid(2)))
+        await world.until(world.is_clean)
+    within(body, hosts=1)
