--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -1,11 +1,14 @@
 """Rule 4 under the sum of all fronts, on small cases of benchmarks/cold.py; its table is in docs/measurements.md."""
 
+from typing import Any
+
 import pytest
 
 from benchmarks.cold import Case, World
 from copperyard.decide import Controller
 
-HARD = dict(uneven=1.2, load=1.7, copies=10, hosts=12, fresh=4)  # uneven, and the new hosts are all that has room
+# uneven, and the new hosts are all that has room
+HARD: dict[str, Any] = dict(uneven=1.2, load=1.7, copies=10, hosts=12, fresh=4)
 
 
 @pytest.mark.parametrize("fronts, places", [(1, 2), (2, 10), (20, 2), (30, 10), (230, 2)])
