--- a/copperyard/config/load.py
+++ b/copperyard/config/load.py
@@ -296,7 +296,7 @@
         fleet, rules = _attrs(_child(root, "fleet")), _attrs(_child(root, "rules"))
         reports, prices = _attrs(_child(root, "reports")), _attrs(_child(root, "prices"))
         retry = duration(rules["retry-after"])
-        rationed = "further" in rules
+        budgeted = "further" in rules
         return api.Settings(
             fronts=fronts, zone=0, tick=duration(rules["tick"]), classes=classes,
             rung_kb=tuple(rate for rate, _ in rungs), rung_worth=tuple(worth for _, worth in rungs),
@@ -310,9 +310,9 @@
             subscribe=True, ask_every=0, cold_from=float(fleet["cold-from"]),
             warm_within=duration(fleet["warm-within"]), drain_grace=duration(rules["drain-grace"]),
             fall_multiple=float(rules["fall-multiple"]), fall=duration(rules["fall"]),
-            free_resends=float(rules["further"]) if rationed else None,
-            further_ratio=float(rules["further-share"]) if rationed else 0.0,
-            ratio_span=duration(rules["further-span"]) if rationed else 0,
+            free_resends=float(rules["further"]) if budgeted else None,
+            further_ratio=float(rules["further-share"]) if budgeted else 0.0,
+            ratio_span=duration(rules["further-span"]) if budgeted else 0,
             price_cross_zone=float(prices["crossing"]), price_late_fail=float(prices["late-fail"]),
             price_move=float(prices["move"]), price_probe=float(prices["probe"]),
             reports_in_answers=reports["in-answers"] == "yes", reports_uplink=reports["uplink"] == "yes")
--- a/copperyard/control/budget.py
+++ b/copperyard/control/budget.py
@@ -1,4 +1,4 @@
-"""The ration of further attempts, kept where the bytes leave.
+"""The retry budget, kept where the bytes leave.
 
 The module counts when it decides a send; the set-up's first byte leaves a connect later. Two attempts decided
 just over a span apart can so leave within one. Rule 6 is checked from the sockets: the last word is here.
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 
-class FurtherBudget:
+class RetryBudget:
     """Trailing windows of `span` ns: at most `free` further attempts plus `share` of the requests taken."""
 
     def __init__(self, span: int, free: float | None, share: float) -> None:
@@ -51,7 +51,7 @@
 
     def _forget(self, now: int) -> None:
         # an event exactly a span ago is counted among the spent and not among the taken: whichever side of
-        # the edge a watcher puts it, the ration holds
+        # the edge a watcher puts it, the budget holds
         while self._taken and self._taken[0] <= now - self.span:
             self._taken.popleft()
         while self._spent and self._spent[0] < now - self.span:
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -47,7 +47,7 @@
 from ...protocol.node.viewer import Wish
 from ...protocol.rtsp.messages import BadHeader
 from ...settings import Platform, report_of
-from ..budget import FurtherBudget
+from ..budget import RetryBudget
 from ..feed import Feed
 from ..timers import Timers
 from . import bounds
@@ -82,7 +82,7 @@
         self.settings, self.platform, self.fleet, self.sockets = settings, platform, fleet, sockets
         self.module = Controller(settings, seed)
         self.classes = {kind.name: n for n, kind in enumerate(settings.classes)}
-        self.budget = FurtherBudget(settings.ratio_span, settings.free_resends, settings.further_ratio)
+        self.budget = RetryBudget(settings.ratio_span, settings.free_resends, settings.further_ratio)
         self.timers = Timers()
         self.orders = Orders()
         self.sessions: dict[int, Session] = {}
--- a/copperyard/control/plays.py
+++ b/copperyard/control/plays.py
@@ -57,7 +57,7 @@
     Stepped,
     Told,
 )
-from .budget import FurtherBudget
+from .budget import RetryBudget
 from .catalogue import Title
 from .evidence import NoteGate
 from .feed import Feed
@@ -181,7 +181,7 @@
         # that left later than the grace after the news began would be late by the news' own length
         self.news_wait = s.drain_grace
         self.reborn: Callable[[int, int, str, int | None], bool] = lambda now, server, boot, age: False
-        self.budget = FurtherBudget(s.ratio_span, s.free_resends, s.further_ratio)
+        self.budget = RetryBudget(s.ratio_span, s.free_resends, s.further_ratio)
         self.codes = Redemptions(rules.bounds.codes)
         self.memory: Memory = Forgetful()
         self.watcher = Watcher()
@@ -379,8 +379,8 @@
 
     def connected(self, now: int, attempt: Attempt) -> bool:
         """The host's connection stands. Whether the set-up may leave; if not, the I/O closes and says so. This is
-        the last instant at which nothing has run: a drain heard of while connecting, and a ration of further
-        attempts that is used up at this very moment, still stop it."""
+        the last instant at which nothing has run: a drain heard of while connecting, and a retry budget
+        that is used up at this very moment, still stop it."""
         attempt.trip = now - attempt.began
         if self.rules.settings.turn is None or self.hosts.sure(now, attempt.plan.server):
             return self._leave(now, attempt)
--- a/copperyard/lab/audit.py
+++ b/copperyard/lab/audit.py
@@ -341,7 +341,7 @@
                 if held > classes[name].seats:
                     self._broke(5, time, front, f"{held} sessions of {path}, {name}: {classes[name].seats} seats")
 
-    # ---- 6: the ration of further attempts
+    # ---- 6: the retry budget
 
     def _ration(self) -> None:
         s = self.rules.settings
--- a/copperyard/settings.py
+++ b/copperyard/settings.py
@@ -137,7 +137,7 @@
     places = extra.numbers("placesByKind", 1.0)
     if not places:
         raise ValueError("settings: extra.placesByKind is empty")
-    rationed = "freeResends" in contract.raw or "furtherRatio" in contract.raw
+    budgeted = "freeResends" in contract.raw or "furtherRatio" in contract.raw
     columns = reporting.items("columns", default=[])
     via = reporting.text("via", "silent")
     mode = top.text("membershipMode", "automatic")
@@ -161,9 +161,9 @@
         warm_within=contract.whole("warmWithin", default=0),
         drain_grace=contract.whole("drainGrace", default=0),
         fall_multiple=contract.number("fallMultiple", default=1.0), fall=contract.whole("fall", default=0),
-        free_resends=contract.number("freeResends", default=0.0) if rationed else None,
+        free_resends=contract.number("freeResends", default=0.0) if budgeted else None,
         further_ratio=contract.number("furtherRatio", default=0.0),
-        ratio_span=contract.whole("ratioSpan", 1 if rationed else 0, None if rationed else 0),
+        ratio_span=contract.whole("ratioSpan", 1 if budgeted else 0, None if budgeted else 0),
         price_cross_zone=penalties.number("crossZone", default=0.0),
         price_late_fail=penalties.number("lateFail", default=0.0),
         price_move=penalties.number("moves", default=0.0), price_probe=penalties.number("probe", default=0.0),
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -401,7 +401,7 @@
     assert desk.statuses(viewer) == [503]  # it never ran, so trying again is harmless
 
 
-def test_the_ration_is_kept_where_set_ups_leave_not_only_where_they_are_decided():
+def test_the_retry_budget_is_kept_where_set_ups_leave_not_only_where_they_are_decided():
     """Two retries decided a span apart may leave within one: the connection of the first took its time."""
     desk = Desk()
     desk.core.budget.free, desk.core.budget.share = 0, 0.5  # one retry for these two requests
--- a/tests/control/test_parts.py
+++ b/tests/control/test_parts.py
@@ -6,7 +6,7 @@
 
 from copperyard import interface as api
 from copperyard.control.admission import Admission, Denial, admit, top_rung
-from copperyard.control.budget import FurtherBudget
+from copperyard.control.budget import RetryBudget
 from copperyard.control.catalogue import Catalogue, describe
 from copperyard.control.evidence import NoteGate, encode_report, note_app, note_of, parse_report
 from copperyard.control.hosts import KEPT_GONE, HostBook
@@ -33,14 +33,14 @@
 
 @pytest.mark.parametrize("gap, may", [(5 * SECOND, False), (5 * SECOND + 1, True)])
 def test_the_ration_on_both_sides_of_its_edge(gap, may):
-    budget = FurtherBudget(5 * SECOND, 1.0, 0.0)
+    budget = RetryBudget(5 * SECOND, 1.0, 0.0)
     assert budget.spend(0)
     assert budget.spend(gap) is may
 
 
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 3 * SECOND)), max_size=60))
 def test_no_trailing_window_ever_holds_more_than_its_ration(steps):
-    budget, now, taken, spent = FurtherBudget(5 * SECOND, 2.0, 0.5), 0, [], []
+    budget, now, taken, spent = RetryBudget(5 * SECOND, 2.0, 0.5), 0, [], []
     for take, gap in steps:
         now += gap
         if take:
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -82,7 +82,7 @@
                 since = self.now - s.ratio_span
                 self.again = [t for t in self.again if t > since] + [self.now]
                 taken = sum(t > since for t in self.taken)
-                assert len(self.again) <= s.free_resends + s.further_ratio * taken, "ration"
+                assert len(self.again) <= s.free_resends + s.further_ratio * taken, "retry budget"
             seat = (r.cls, r.title)
             self.seats[seat] = self.seats.get(seat, 0) + 1
             assert not kind.seats or self.seats[seat] <= kind.seats, "seats"
