The node's log waits for nobody: a full or closed standard error no longer stops or ends it

Seen, forced with standard error as a pipe of one page: once it was full the node stood still at print (no answer in 6 s), and once its reader had gone print raised BrokenPipeError out of carry_out, which ends the process with all its sessions. At fault: telemetry/lines.py. Now a line is written where the descriptor says it has room, PIPE_BUF bytes at most, else dropped and counted. test_scarce's last test and test_lines fail without it.

--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -249,7 +249,7 @@
     """The node as a process, with hosts and a name service of this one. Stopped, what comes to it lies unread and what
     it was to do in time becomes due: when it goes on, all of it meets in one instant."""
 
-    def __init__(self, nursery, path, hosts=1, pipe=False, preexec=None, **more):
+    def __init__(self, nursery, path, hosts=1, pipe=False, preexec=None, stderr=subprocess.PIPE, **more):
         self.world = World(nursery, hosts, **more)
         self.path = path / "config.json"
         with socket.create_server(("127.0.0.1", 0)) as probe:
@@ -260,7 +260,7 @@
             self.write()
         environ = {**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": self.address, "NODE_CONFIG": str(self.path)}
         self.process = subprocess.Popen([sys.executable, "-m", "copperyard.gateway.node"], env=environ,
-                                        cwd=Path(__file__).parents[3], stderr=subprocess.PIPE, stdout=subprocess.PIPE,
+                                        cwd=Path(__file__).parents[3], stderr=stderr, stdout=subprocess.PIPE,
                                         preexec_fn=preexec)
 
     async def start(self):
--- a/tests/gateway/node/test_scarce.py
+++ b/tests/gateway/node/test_scarce.py
@@ -1,6 +1,7 @@
 """Descriptors at a real limit of the system, a name service that is silent, late or wrong, and floods: the node goes on
 serving, says so once, and comes back by itself."""
 
+import fcntl
 import os
 import resource
 import signal
@@ -205,3 +206,30 @@
         # each has answers for all of its requests or none yet: nothing is lost in the noise
         assert max(took) < 3.9, took
     within(body, extra={"placesByKind": [5000], "kbPerWeight": 9e6, "rackKb": 9e6})
+
+
+def test_a_log_that_nobody_reads_holds_up_nothing(tmp_path):
+    """Standard error is a pipe of one page: first it fills, then its reader goes."""
+    reads, writes = os.pipe()
+    fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, 4096)
+
+    async def body(program):
+        os.close(writes)
+        bad, good = program.client(), program.client()
+        for n in range(11):
+            bad.send(setup(sid(500 + n), cls="nobody " * 20))
+            good.send(setup(sid(1 + n)))
+            assert await good.answers(1) == [200]
+            if n == 5:
+                program.signal(signal.SIGHUP)
+        assert await bad.answers(11) == [400] * 11
+        many = [program.client() for _ in range(5)]
+        for n, one in enumerate(many):
+            one.send(setup(sid(600 + n), cls="nobody " * 20) * 11)
+            assert await one.answers(11) == [400] * 11
+        os.close(reads)
+        program.signal(signal.SIGHUP)
+        good.send(setup(sid(99)))
+        assert await good.answers(1) == [200]
+        assert program.process.poll() is None
+    beside(tmp_path, body, stderr=writes)
--- a/tests/telemetry/test_lines.py
+++ b/tests/telemetry/test_lines.py
@@ -1,21 +1,44 @@
-"""The small log: bounded in a storm, and it says what it held back."""
+"""The small log: bounded in a storm, it says what it held back, and whoever reads it holds up nothing."""
 
-import io
 import json
+import os
 import time
 
-from copperyard.telemetry.lines import Lines
+from copperyard.telemetry.lines import MOST_LINE, Lines
 
 
 def test_a_storm_is_bounded_and_counted(monkeypatch):
     clock = [1000.0]
     monkeypatch.setattr(time, "time", lambda: clock[0])
-    sink = io.StringIO()
-    lines = Lines(3, sink)
+    reads, writes = os.pipe()
+    lines = Lines(3, writes)
     for n in range(10):
         lines("host lost", {"host": f"s-{n}"})
     clock[0] += 1
     lines("list", {"serial": 4})
-    told = [json.loads(line) for line in sink.getvalue().splitlines()]
+    told = [json.loads(line) for line in os.read(reads, 65536).splitlines()]
     assert [one["event"] for one in told] == ["host lost"] * 3 + ["list"]
     assert told[-1] == {"at": 1001.0, "event": "list", "serial": 4, "held_back": 7}
+    os.close(reads)
+    os.close(writes)
+
+
+def test_a_reader_that_takes_nothing_or_has_gone_holds_up_nothing(tmp_path):
+    reads, writes = os.pipe()
+    lines = Lines(10**6, writes)
+    for n in range(5000):  # far more than the pipe holds; a write that waits would wait for good
+        lines("storm", {"n": n, "text": "x" * 100})
+    got = b""
+    while len(got) < 1 << 15:
+        got += os.read(reads, 65536)
+    lines("after", {})
+    got += os.read(reads, 1 << 20)
+    told = [json.loads(line) for line in got.splitlines()]
+    assert told[0]["n"] == 0 and told[-1]["event"] == "after" and told[-1]["held_back"] > 1000
+    os.close(reads)
+    lines("nobody", {})
+    os.close(writes)
+    path = tmp_path / "log"
+    with path.open("wb") as file:  # an ordinary file, and a line that is too long
+        Lines(5, file.fileno())("long", {"text": "x" * 2 * MOST_LINE})
+    assert path.stat().st_size == MOST_LINE
