A start waits for its address where the process of before has not ended yet

Seen (test_end.py's last test, failing on with exit 1 and a traceback): bind in the instant in which an earlier process still holds the address ended the start. Now it is tried each 200 ms for 20 s, and the log says so.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -58,6 +58,8 @@
 END_PART = 200 * MS  # for the last answers to be read before the process is gone; what crosses is sent again
 END_MOST = 60 * SECOND  # when a node that was told to end does, whatever plays; the platform kills it long before
 PARTING = SECOND  # a connection that this side ends is heard for so long; a release is to be told within that
+LISTEN = 200 * MS  # until an address that is in use is tried again
+LISTENS = 100  # how often; the platform waits 30 s for a node to be ready
 RELOAD = SECOND  # until a configuration that could not be read is tried again
 RELOADS = 20
 
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import time
 from collections.abc import Callable, Mapping
@@ -14,7 +15,7 @@
 from ...control.node.links import Link, State
 from ...control.node.sessions import Viewer
 from ...membership.fleet import Fleet
-from ..net import CLOSED, Datagrams, Network, Signal, Stream, UdpSocket, at, now
+from ..net import CLOSED, Datagrams, Listener, Network, Signal, Stream, UdpSocket, at, now
 from .follow import NameFollower
 from .place import BadPlace, Place
 
@@ -88,7 +89,7 @@
             self._nursery = nursery
             self.names = NameFollower(self.core, self.datagrams, place.dns, self.rng, self.carry_out)
             self.core.start(now(), fleet.start(place.serial, place.events))
-            self._listener = listener = await self.network.listen(place.listen)
+            self._listener = listener = await self._listens(place.listen)
             try:
                 self.address = listener.address
                 nursery.start_soon(self.names.run)
@@ -104,6 +105,18 @@
             finally:
                 listener.close()
 
+    async def _listens(self, address: str) -> Listener:
+        """A process of the same name may not have ended yet when the next one starts: its address is waited for."""
+        for _ in range(bounds.LISTENS):
+            try:
+                return await self.network.listen(address)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                self.log("address in use", {"address": address})
+                await trio.sleep(bounds.LISTEN / 1e9)
+        return await self.network.listen(address)
+
     def _accept_waiting(self, most: int) -> int:
         """Take connections that wait to be accepted, at most so many; how many there were."""
         for taken in range(most):
--- a/tests/gateway/node/test_end.py
+++ b/tests/gateway/node/test_end.py
@@ -2,6 +2,7 @@
 sockets are real; the instant is forced, by a reader that is held back or a process that is stopped."""
 
 import signal
+import socket
 
 import pytest
 import trio
@@ -255,3 +256,28 @@
                 program.process.wait()
             nursery.cancel_scope.cancel()
     trio.run(main)
+
+
+def test_a_start_in_the_instant_in_which_the_process_of_before_ends(tmp_path):
+    """Its address is still in use when the next one wants it: that one waits, and serves once it is free."""
+    async def main():
+        async with trio.open_nursery() as nursery:
+            program = Program(nursery, tmp_path, pipe=True)
+            try:
+                await program.reads()
+                host, port = program.address.rsplit(":", 1)
+                with socket.create_server((host, int(port))):
+                    await program.feed()
+                    await trio.sleep(1)
+                    assert program.process.poll() is None
+                await program.start()
+                one = program.client()
+                one.send(setup(sid(1)))
+                assert await one.answers(1) == [200]
+            finally:
+                program.process.kill()
+                program.process.wait()
+            _, said = await program.exit()
+            assert "address in use" in said and "Traceback" not in said
+            nursery.cancel_scope.cancel()
+    trio.run(main)
