A flood gets one turn: set-ups of a client with more to say wait until it is read

Cause, by reckoning: the look before a set-up leaves read up to 256 KiB of one client in one go, some 800 messages, while all others waited. Now it reads as much as the client's own task does in a turn, and the set-ups of a client that has more unread wait 5 ms at a time (NodeCore.frames, busy). test_gone's withdrawal behind 60 others (58 kB unread) holds it.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -24,7 +24,7 @@
 VIEWER_READ = 8192  # the same of viewers, so that a flood on one connection does not hold up the others
 # a message is 16 KiB at most, so what one connection can make us hold is a head and a body of that order
 VIEWER_LIMITS = Limits(line=1024, headers=16, body=16384, frame=0, pending=1)
-MOST_LOOKS = 32  # reads of one connection in a row, before something is sent that what lies unread there may forbid
+MOST_LOOKS = 8  # reads of one connection in a row, before something is sent that what lies unread there may forbid
 LINES_A_SECOND = 50  # of the log
 
 # connections
@@ -53,6 +53,7 @@
 RENAME = 250 * MS  # until a socket to the name service is tried again; the pace of queries is membership/asking.py's
 LATECOMERS = 650 * MS  # requests are taken so long after the node was told to end
 END_LEAST = SECOND  # and the refusals of those after them get so long to leave
+LOOK_AGAIN = 5 * MS  # until a set-up is tried again whose client has more to say than was read in one turn
 END_PASS = 5 * MS  # between two looks at what may still lie unread, once nothing is left to do
 END_CLEAR = SECOND  # how long these go on where a peer takes nothing, or goes on asking; its answer is a refusal
 END_PART = 200 * MS  # for the last answers to be read before the process is gone; what crosses is sent again
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from ...decide import Controller
@@ -567,9 +568,9 @@
         waiting = (one.session.viewer for one in link.out if not isinstance(one, bytes))
         return list(dict.fromkeys(viewer for viewer in waiting if viewer is not None))
 
-    def frames(self, now: int, link: Link) -> tuple[bytes, bool]:
+    def frames(self, now: int, link: Link, busy: Collection[Viewer] = ()) -> tuple[bytes, bool]:
         """What waits on a connection, as one piece; from here on it may have left. With it, whether an attempt is
-        given up by it."""
+        given up by it. Set-ups of `busy` viewers go on waiting."""
         parts = []
         late: list[Attempt] = []
         spent: list[Attempt] = []
@@ -580,6 +581,8 @@
                 parts.append(one)
             elif now >= one.limit:  # this process stood still: nothing leaves after its time
                 late.append(one)
+            elif one.session.viewer in busy:
+                link.out.append(one)
             elif one.number and not self.budget.spend(now):
                 spent.append(one)
             else:
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable, Mapping
+from enum import Enum
 
 import trio
 from trio import TaskStatus
@@ -22,6 +23,14 @@
 Logger = Callable[[str, Mapping[str, str | int]], None]
 
 
+class Unread(Enum):
+    """What lay unread on a client's connection: MORE may still lie there."""
+
+    NONE = 0
+    SOME = 1
+    MORE = 2
+
+
 class Pipe:
     """The writing half of one connection: what does not leave at once is written by a task as room comes. A peer that
     takes nothing for `stall` s, or lets more than `most` bytes wait, has broken."""
@@ -78,6 +87,7 @@
         self._timer = Signal()
         self._wake_at: int | None = None
         self._quiet = Signal()
+        self._later: set[Link] = set()
         self._busy = self._ending = False
 
     async def run(self, task_status: TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
@@ -133,7 +143,7 @@
             spare = self.core.spare()
             if spare is None:
                 return stream.close()
-            if self._look(spare) and not spare.closed:
+            if self._look(spare) is not Unread.NONE and not spare.closed:
                 self.carry_out()  # it has just said something, and is not the one that is missed least any more
             else:
                 self._dismiss(spare)
@@ -202,7 +212,7 @@
             if self._accept_waiting(bounds.MOST_LOOKS):
                 calm = 0
             for viewer in list(self._callers):
-                calm = 0 if self._look(viewer) else calm
+                calm = calm if self._look(viewer) is Unread.NONE else 0
             self.carry_out()
             if any(pipe.rest for pipe in (*self._callers.values(), *self._pipes.values())) or self.core.unsaid:
                 calm = 0
@@ -273,11 +283,14 @@
             # what cannot leave yet waits in the core, where news of the list and time limits still reach it
             if not self._alive(link, pipe.stream):
                 return
-            self._look_at_clients(link)
+            busy = self._look_at_clients(link)
             if link.state is not State.UP:
                 return
-            data, last = self.core.frames(now(), link)
+            data, last = self.core.frames(now(), link, busy)
             pipe.write(data)
+            if busy and link not in self._later:
+                self._later.add(link)
+                self._nursery.start_soon(self._write_later, link)
         else:
             last = link.gives_up
         if last and pipe.rest:
@@ -322,33 +335,45 @@
                 return False
         return True
 
-    def _look_at_clients(self, link: Link) -> None:
+    async def _write_later(self, link: Link) -> None:
+        await trio.sleep(bounds.LOOK_AGAIN / 1e9)
+        self._later.discard(link)
+        self.core.orders.write.append(link)
+        self.carry_out()
+
+    def _look_at_clients(self, link: Link) -> set[Viewer]:
         """Before set-ups leave on a connection: a client that has hung up or withdrawn its set-up starts nothing, also
-        where that lies unread behind a timer, a dial, a host's answer or a stall of this process."""
-        seen: set[Viewer] = set()
+        where that lies unread behind a timer, a dial, a host's answer or a stall of this process. The clients that have
+        more to say than they get to say in one turn: their set-ups wait until it is read."""
+        seen: dict[Viewer, Unread] = {}
         while fresh := [viewer for viewer in self.core.askers(link) if viewer not in seen]:
             for viewer in fresh:
-                seen.add(viewer)
-                self._look(viewer)
+                seen[viewer] = self._look(viewer)
+        return {viewer for viewer, unread in seen.items() if unread is Unread.MORE}
 
-    def _look(self, viewer: Viewer) -> bool:
-        """Take what a client has sent and lies unread, its end included, without waiting; whether there was any."""
+    def _look(self, viewer: Viewer) -> Unread:
+        """Take what a client has sent and lies unread, its end included, without waiting. A flood gets one turn as in
+        the client's own task, so that the others do not wait for it."""
         pipe = self._callers.get(viewer)
-        for n in range(bounds.MOST_LOOKS):
+        found = Unread.NONE
+        for _ in range(bounds.MOST_LOOKS):
             if pipe is None or viewer.closed or viewer.closing:
-                return n > 0
+                return found
             try:
                 data = pipe.stream.receive_now(bounds.VIEWER_READ)
             except OSError:
                 data = b""
             if data is None:
-                return n > 0
+                return found
             if not data:
                 self.core.viewer_left(now(), viewer)
                 pipe.broke()
-                return True
+                return Unread.SOME
             self.core.viewer_said(now(), viewer, data)
-        return True
+            found = Unread.SOME
+            if len(data) == bounds.VIEWER_READ:
+                break
+        return Unread.MORE
 
     def _speak(self, viewer: Viewer) -> None:
         pipe = self._callers.get(viewer)
--- a/tests/gateway/node/test_gone.py
+++ b/tests/gateway/node/test_gone.py
@@ -34,8 +34,8 @@
 
 def withdraws_behind_others(client, n):
     """What it said before fills more than one read of the node."""
-    client.send(b"".join(setup(sid(1000 + k), body=bytes(900)) for k in range(20)) + teardown(sid(n))
-                + b"".join(teardown(sid(1000 + k)) for k in range(20)))
+    client.send(b"".join(setup(sid(1000 + k), body=bytes(900)) for k in range(60)) + teardown(sid(n))
+                + b"".join(teardown(sid(1000 + k)) for k in range(60)))
 
 
 WAYS = pytest.mark.parametrize("goes", [closes, resets, half_closes, withdraws, withdraws_behind_others])
