--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -88,6 +88,7 @@
         self._wake_at: int | None = None
         self._quiet = Signal()
         self._later: set[Link] = set()
+        self._floods: set[Viewer] = set()
         self._busy = self._ending = False
 
     async def run(self, task_status: TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
@@ -241,6 +242,7 @@
         if self._busy:
             return
         self._busy = True
+        self._floods.clear()
         try:
             while orders := self.core.take():
                 for event, fields in orders.lines:
@@ -345,11 +347,14 @@
         """Before set-ups leave on a connection: a client that has hung up or withdrawn its set-up starts nothing, also
         where that lies unread behind a timer, a dial, a host's answer or a stall of this process. The clients that have
         more to say than they get to say in one turn: their set-ups wait until it is read."""
-        seen: dict[Viewer, Unread] = {}
+        seen: set[Viewer] = set()
         while fresh := [viewer for viewer in self.core.askers(link) if viewer not in seen]:
             for viewer in fresh:
-                seen[viewer] = self._look(viewer)
-        return {viewer for viewer, unread in seen.items() if unread is Unread.MORE}
+                seen.add(viewer)
+                # once a turn, however many connections to hosts its set-ups wait on
+                if viewer not in self._floods and self._look(viewer) is Unread.MORE:
+                    self._floods.add(viewer)
+        return seen & self._floods
 
     def _look(self, viewer: Viewer) -> Unread:
         """Take what a client has sent and lies unread, its end included, without waiting. A flood gets one turn as in
