A session that comes to stand when its client has gone is ended at its host

At fault: NodeCore._stands, which answers without a look. Now the client's connection is read before a first answer is written (Viewer.fresh), and where it has ended the host is told.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -256,6 +256,9 @@
         self.viewers.pop(viewer, None)
         for session in list(viewer.open.values()):
             self._given_up(now, session)
+        fresh, viewer.fresh = viewer.fresh, []
+        for session in fresh:  # it went before it could hear that its session stands: nobody wants that one
+            self._end(now, session, Code.CANCELLED, Cause.NORMAL, False, tell_host=True)
         notices, viewer.notices = viewer.notices, []
         for data in notices:  # what had not left yet is told where somebody reads
             self._to_viewers(None, data)
@@ -780,6 +783,7 @@
         self._watched(now, link.host)
         self._answer(session, 200, description)
         if session.viewer is not None:
+            session.viewer.fresh.append(session)
             self._served(now, session.viewer)
         self._feed(now, Opened(session.ref, attempt.number, link.host.server, now - attempt.sent))
 
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -20,7 +20,8 @@
     """A viewers' connection. `open` are the set-ups on it that have no answer yet, `heard` when its last request
     came, `spoke` whether any that made sense came at all, `served` when a session last began to stand through it (-1:
     never): those are the connections that somebody reads. `unsent`: some of what was said to it has not left yet;
-    `notices`: what wants no answer, and so must not be lost with the connection, of what is in `out`."""
+    of what is in `out`, `notices` is what wants no answer, and so must not be lost with the connection, and `fresh` are
+    the sessions whose first answer it is."""
 
     number: int
     wire: Connection = field(default_factory=lambda: Connection(VIEWER_LIMITS))
@@ -32,10 +33,19 @@
     served: int = -1
     errors: int = 0
     notices: list[bytes] = field(default_factory=list)
+    fresh: list[Session] = field(default_factory=list)
     unsent: bool = False
     closing: bool = False
     closed: bool = False
 
+    def take(self) -> bytes:
+        """What is to be said, which from here on has been said."""
+        data = bytes(self.out)
+        self.out.clear()
+        self.notices.clear()
+        self.fresh.clear()
+        return data
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -222,8 +222,7 @@
     async def _part_with_clients(self) -> None:
         """End each connection in order: a close over bytes that lie unread is a reset, which may throw away the last
         answer at the other end. Whoever sends a request from here on sees that nobody took it."""
-        while self._accept_waiting(bounds.MOST_LOOKS):
-            pass
+        self._accept_waiting(self.place.sockets)
         for viewer in list(self._callers):
             self._look(viewer)
         self.carry_out()
@@ -382,13 +381,10 @@
 
     def _speak(self, viewer: Viewer) -> None:
         pipe = self._callers.get(viewer)
-        if pipe is not None and viewer.notices:
-            self._look(viewer)  # a client that has gone does not hear that its session is over; another may tell it
-            viewer.notices.clear()
+        if pipe is not None and (viewer.notices or viewer.fresh):
+            self._look(viewer)  # a client that has gone hears neither that a session stands nor that one is over
         if pipe is not None and viewer.out and not viewer.closed:
-            data = bytes(viewer.out)
-            viewer.out.clear()
-            pipe.write(data)
+            pipe.write(viewer.take())
             viewer.unsent = bool(pipe.rest)
         if pipe is not None and viewer.closing and viewer in self._reading:
             self._reading[viewer].cancel()
--- a/tests/control/node/helpers.py
+++ b/tests/control/node/helpers.py
@@ -98,8 +98,7 @@
                 if link in link.host.links:
                     self.sent.setdefault(link, []).extend(messages(self.core.frames(self.now, link)[0]))
             for viewer in orders.answer:
-                self.heard[viewer] = self.heard.get(viewer, b"") + bytes(viewer.out)
-                viewer.out.clear()
+                self.heard[viewer] = self.heard.get(viewer, b"") + viewer.take()
 
     def wait(self, seconds):
         end = self.now + round(seconds * SECOND)
--- a/tests/control/node/test_any_settings.py
+++ b/tests/control/node/test_any_settings.py
@@ -99,8 +99,7 @@
                     for kind, session, params in self.sent[link][already:]:
                         self.left_for(link, kind, session, params)
             for viewer in dict.fromkeys(orders.answer):
-                data, viewer.out = bytes(viewer.out), bytearray()
-                for event in self.wires.setdefault(viewer, Connection(LIMITS)).receive(data):
+                for event in self.wires.setdefault(viewer, Connection(LIMITS)).receive(viewer.take()):
                     if hasattr(event, "response") and event.response.header("CSeq") == "1":
                         self.told(event.response.header("Session"), event.response.status)
                     elif hasattr(event, "method"):  # a session that stood is over: its host was lost
--- a/tests/gateway/node/test_gone.py
+++ b/tests/gateway/node/test_gone.py
@@ -9,7 +9,7 @@
 from copperyard.gateway.net import now
 from copperyard.protocol.node.messages import Cause
 from tests.control.node.helpers import SECOND, release, setup, sid, teardown
-from tests.gateway.node.sockets import within
+from tests.gateway.node.sockets import answer, within
 
 # a cold host takes a set-up each 300 ms or so: what waits for its time there is brought by a timer alone
 PACED = {"warmWithin": 6 * SECOND, "fallMultiple": 2.0}
@@ -206,3 +206,21 @@
         two.send(teardown(sid(2)))
         await world.until(world.is_clean)
     within(body, hosts=1)
+
+
+@pytest.mark.parametrize("goes", [closes, resets, half_closes, withdraws])
+def test_a_session_that_comes_to_stand_when_its_client_has_gone_is_ended_at_its_host(goes):
+    """The client's end lies unread when the host's answer comes: nobody would ever end that session."""
+    async def body(world):
+        (host,) = world.hosts
+        host.says = lambda session: None
+        client = world.client()
+        client.send(setup(sid(1), "paid", patience="2900"))
+        await world.until(lambda: host.setups)
+        world.hold_back()
+        goes(client, 1)
+        await host.say(answer(sid(1)))
+        await world.until(lambda: host.releases == [sid(1)])
+        await world.until(world.is_clean)
+        world.let_go()
+    within(body, hosts=1)
