Signals are held back for no longer than the program runs

A test of the command line calls the node's main function in its own process, whose mask then held SIGTERM back for good, and for every program that it started. The mask is put back on the way out; test_end's last test fails without that.

--- a/copperyard/gateway/node/__main__.py
+++ b/copperyard/gateway/node/__main__.py
@@ -24,15 +24,18 @@
 def main() -> int:
     """Serve until killed; exit 2 with one line where the configuration is wrong."""
     # a signal that comes before its receiver stands waits for it; it would end the process else
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         place = bounded(read_place(os.environ), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     except BadPlace as error:
         print(f"copperyard node: {error}", file=sys.stderr)
         return 2
-    gc.freeze()
-    trio.run(serve, place)
-    return 0
+    else:
+        gc.freeze()
+        trio.run(serve, place)
+        return 0
+    finally:  # whoever called this may start programs of its own, which would inherit what is held back
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
 
 
 def bounded(place: Place, descriptors: int) -> Place:
@@ -66,4 +69,5 @@
 
 
 if __name__ == "__main__":
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # to the very end: a signal then finds nothing left to do
     sys.exit(main())
--- a/tests/gateway/node/test_end.py
+++ b/tests/gateway/node/test_end.py
@@ -8,6 +8,7 @@
 import trio
 
 from copperyard.control.node import bounds
+from copperyard.gateway.node.__main__ import main
 from copperyard.protocol.node.messages import Cause
 from tests.control.node.helpers import release, setup, sid, teardown
 from tests.gateway.node.sockets import Program, answer, beside, within
@@ -281,3 +282,11 @@
             assert "address in use" in said and "Traceback" not in said
             nursery.cancel_scope.cancel()
     trio.run(main)
+
+
+def test_signals_are_held_back_for_no_longer_than_the_program_runs(monkeypatch):
+    """A program that calls this one's main function goes on to start others, which inherit its mask."""
+    monkeypatch.delenv("NODE_NAME", raising=False)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    assert main() == 2
+    assert signal.pthread_sigmask(signal.SIG_BLOCK, ()) == before
