The simulated site has one home in the laboratory, with checks whose cost does not grow

Benchmarks imported it from tests, and its check walked all gateways every 50 ms. Front, Site and the fleet of membership alone move to copperyard/lab/sites/simulated.py, typed. Caps are summed as fronts take them up, in whole parts, and looked at after each event that gave a front more (before: every 50 ms only) as well as every 50 ms. Hosts and sessions are built once for all. Links are cut by walls of groups: two regions of 7,400 are no 26 million pairs. tests/common, tests/membership, tests/agreement, tests/lab/test_sites.py: 177 passed.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -16,8 +16,7 @@
 from copperyard.control.zones.plan import Standing, Terms
 from copperyard.control.zones.planner import fill
 from copperyard.lab.sites.events import Manner
-from tests.common.helpers import Site
-from tests.membership.test_gateways import World
+from copperyard.lab.sites.simulated import Site, World
 
 SECOND = 1_000_000_000
 MS = 1_000_000
@@ -115,7 +114,8 @@
         while site.standing(3) is not Standing.CLOSED and site.net.now - begin < 60 * SECOND:
             site.run(0.25)
         closed.append((site.net.now - begin) / SECOND)
-        while any(site.front(n).core.plan.zones[3].standing is not Standing.CLOSED for n in site.net.nodes):
+        while any(one.core.plan is None or one.core.plan.zones[3].standing is not Standing.CLOSED
+                  for one in site.fronts()):
             site.run(0.25)
         known.append((site.net.now - begin) / SECOND)
         site.run(60)
--- a/copperyard/lab/sites/events.py
+++ b/copperyard/lab/sites/events.py
@@ -53,24 +53,34 @@
         self.now = 0
         self.manner = manner if manner is not None else Manner()
         self.manners: dict[tuple[str, str], Manner] = {}
-        self.cut: set[tuple[str, str]] = set()  # from, to
+        self.walls: list[tuple[frozenset[str], frozenset[str]]] = []  # from any of these, to any of those: cut
         self.nodes: dict[str, _Node] = {}
         self.sent = self.lost = 0
         self.sizes: Callable[[Any], int] | None = None
         self.bytes = 0
         self.watch: Callable[[int], None] | None = None  # called after every event
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.sending: Callable[[str, str, Any], None] | None = None  # from, to, message: also of what gets lost
+        self.arriving: Callable[[str, str, Any], None] | None = None
+        self.joined: Callable[[str, CoreLike], None] | None = None  # a core begins; before it says a word
+        self.gone: Callable[[str, CoreLike], None] | None = None  # it was killed, or another takes its place
+        self._heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._count = 0
 
     # ---- scripts
 
     def at(self, time: int, do: Callable[[], None]) -> None:
+        self._at(max(time, self.now), do)
+
+    def _at(self, time: int, do: Callable[..., None], *args: Any) -> None:
         self._count += 1
-        heapq.heappush(self._heap, (max(time, self.now), self._count, do))
+        heapq.heappush(self._heap, (time, self._count, do, args))
 
     def add(self, name: str, core: CoreLike, ahead: int = 0, speed: float = 1.0) -> None:
         """A core begins, or begins anew. Its clock is `ahead` ns and runs at `speed`."""
+        self.kill(name)
         self.nodes[name] = _Node(core, (ahead, speed))
+        if self.joined is not None:
+            self.joined(name, core)
         self._turn(name)
 
     def time_of(self, name: str) -> int:
@@ -79,7 +89,9 @@
         return ahead + int(self.now * speed)
 
     def kill(self, name: str) -> None:
-        self.nodes.pop(name, None)
+        node = self.nodes.pop(name, None)
+        if node is not None and self.gone is not None:
+            self.gone(name, node.core)
 
     def stop(self, name: str, time: int) -> None:
         """It stands still for so long; what reaches it meanwhile lies in its sockets."""
@@ -89,21 +101,24 @@
 
     def part(self, one: list[str], other: list[str], both: bool = True) -> None:
         """Cut every link from the ones to the others, and back."""
-        for a in one:
-            for b in other:
-                self.cut.add((a, b))
-                if both:
-                    self.cut.add((b, a))
+        ones, others = frozenset(one), frozenset(other)
+        self.walls.append((ones, others))
+        if both:
+            self.walls.append((others, ones))
 
     def heal(self) -> None:
-        self.cut.clear()
+        self.walls.clear()
+
+    def cut(self, sender: str, to: str) -> bool:
+        """Whether the link is cut that way."""
+        return any(sender in ones and to in others for ones, others in self.walls)
 
     # ---- running
 
     def run(self, until: int) -> None:
         while self._heap and self._heap[0][0] <= until:
-            self.now, _, do = heapq.heappop(self._heap)
-            do()
+            self.now, _, do, args = heapq.heappop(self._heap)
+            do(*args)
             if self.watch is not None:
                 self.watch(self.now)
         self.now = until
@@ -133,7 +148,7 @@
         at = max(self.now + 1, int((node.core.next_wake() - ahead) / speed) + 1)
         if node.wake_at != at:
             node.wake_at = at
-            self.at(at, lambda: self._wake(name, node, at))
+            self._at(at, self._wake, name, node, at)
 
     def _wake(self, name: str, node: _Node, at: int) -> None:
         if self.nodes.get(name) is not node or node.wake_at != at or self.now < node.until:
@@ -147,16 +162,20 @@
         self.sent += 1
         if self.sizes is not None:
             self.bytes += self.sizes(message)
-        if (sender, to) in self.cut or self.random.random() < manner.loss:
+        if self.sending is not None:
+            self.sending(sender, to, message)
+        if self.walls and self.cut(sender, to) or self.random.random() < manner.loss:
             self.lost += 1
             return
         for _ in range(2 if self.random.random() < manner.twice else 1):
-            self.at(self.now + self.random.randint(*manner.delay), lambda: self._arrive(sender, to, message))
+            self._at(self.now + self.random.randint(*manner.delay), self._arrive, sender, to, message)
 
     def _arrive(self, sender: str, to: str, message: Any) -> None:
         node = self.nodes.get(to)
-        if node is None or (sender, to) in self.cut:
+        if node is None or self.walls and self.cut(sender, to):
             return
+        if self.arriving is not None:
+            self.arriving(sender, to, message)
         if self.now < node.until:
             node.inbox.append((sender, message))
             return
--- a/tests/membership/test_gateways.py
+++ b/tests/membership/test_gateways.py
@@ -2,73 +2,15 @@
 
 import pytest
 
-from copperyard.lab.sites.events import Events, Manner
-from copperyard.membership.gateways.members import Changed, Members, Pace, Say, Stood
+from copperyard.lab.sites.events import Manner
+from copperyard.lab.sites.simulated import World
+from copperyard.membership.gateways.members import Members, Pace, Say
 from copperyard.membership.gateways.messages import Life, Look, Nothing, Ping, Row, Rumour
 from copperyard.membership.gateways.sight import Sight, Standing, Way
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
 
-class Gateway:
-    def __init__(self, world, name, incarnation):
-        self.world, self.name = world, name
-        self.core = Members(name, world.roster, world.zones, Pace(), world.seed * 7919 + hash_of(name) + incarnation,
-                            world.net.now, incarnation)
-
-    def hear(self, now, sender, message):
-        self.core.hear(now, sender, message)
-
-    def wake(self, now):
-        self.core.wake(now)
-
-    def next_wake(self):
-        return self.core.next_wake()
-
-    def collect(self, now):
-        out = []
-        for action in self.core.take():
-            if isinstance(action, Say):
-                out.append((action.to, action.message))
-            elif isinstance(action, Changed):
-                self.world.changes.append((self.world.net.now, self.name, action.name, action.life))
-            else:
-                assert isinstance(action, Stood)
-        return out
-
-
-def hash_of(name):
-    return sum(ord(c) * 31 ** n for n, c in enumerate(name))
-
-
-class World:
-    def __init__(self, seed=1, gateways=12, zones=4, manner=None):
-        self.seed, self.zones = seed, zones
-        self.roster = {f"g{n}": n % zones for n in range(gateways)}
-        self.net = Events(seed, manner or Manner(delay=(1 * MS, 20 * MS)))
-        self.changes = []
-        for name in self.roster:
-            self.start(name, 1000)
-
-    def start(self, name, incarnation):
-        self.net.add(name, Gateway(self, name, incarnation))
-
-    def core(self, name):
-        return self.net.nodes[name].core.core  # type: ignore[attr-defined]
-
-    def of(self, zone):
-        return [name for name, z in self.roster.items() if z == zone]
-
-    def run(self, seconds):
-        self.net.run(self.net.now + round(seconds * SECOND))
-
-    def deaths(self, since=0):
-        return [(at, who, whom) for at, who, whom, life in self.changes if life is Life.DEAD and at >= since]
-
-    def all_hold(self, name, life):
-        return all(self.core(x).members[name].life is life for x in self.net.nodes if x != name)
-
-
 def test_nobody_dies_where_nothing_is_wrong():
     world = World()
     world.run(120)
