--- a/copperyard/config/common.py
+++ b/copperyard/config/common.py
@@ -13,10 +13,12 @@
 from ..control.common import CommonPlace
 from ..control.rules import FrontRules
 from ..control.zones.plan import LIVE, OTHER_REGION, SAME_REGION, Terms
+from ..membership.gateways.cells import CellMap
 from ..membership.gateways.members import Pace
 from ..state.agreement.council import Beat
 from .units import duration, rate_kb
 
+MOST_VOTERS = 9  # what operators of 7,400 gateways set aside for control; four of them may die
 EVERYWHERE = ("0.0.0.0", "[::]")
 
 Wrong = Callable[[etree._Element, str], None]
@@ -27,7 +29,7 @@
     """What the gateways of a site decide in common, and how they find each other. `listen` and `reach`: where each
     gateway's links listen, and where the others dial; `fleet`: a digest of what all have to agree on."""
 
-    roster: Mapping[str, int]
+    cells: CellMap
     zones: tuple[str, ...]
     voters: tuple[str, ...]
     listen: Mapping[str, str]
@@ -42,7 +44,7 @@
 
     def place(self, name: str) -> CommonPlace:
         """What the gateway of that name is told."""
-        return CommonPlace(name, self.roster, self.zones, self.voters, self.terms, self.pace, self.beat)
+        return CommonPlace.of(name, self.cells, self.zones, self.voters, self.terms, self.pace, self.beat)
 
 
 def read_common(root: etree._Element, zones: tuple[str, ...], gateways: Sequence[tuple[str, int]], rules: FrontRules,
@@ -109,8 +111,8 @@
         lengths.append(sum(own) // len(own) if own else LIVE)
     same = json.dumps([sorted(roster.items()), zones, sorted(_votes(elements)), prices, a, [c.name for c in
                        settings.classes], settings.rung_kb], default=str)
-    return CommonPlan(roster, zones, tuple(_votes(elements)), listen, reach, terms, pace, beat, tuple(lengths),
-                      a["folder"], a["store"], hashlib.sha256(same.encode()).digest()[:16])
+    return CommonPlan(CellMap(roster, len(zones)), zones, tuple(_votes(elements)), listen, reach, terms, pace, beat,
+                      tuple(lengths), a["folder"], a["store"], hashlib.sha256(same.encode()).digest()[:16])
 
 
 def _votes(elements: Mapping[str, etree._Element]) -> list[str]:
@@ -126,8 +128,9 @@
     if len(voters) % 2 == 0:
         wrong(elements[voters[-1]], f"is voter {len(voters)}: an even council stands no more deaths than one of "
                                     f"{len(voters) - 1}")
-    if len(voters) > 7:
-        wrong(elements[voters[7]], f"is voter {len(voters)}: more than 7 make every decision slower and none safer")
+    if len(voters) > MOST_VOTERS:
+        wrong(elements[voters[MOST_VOTERS]], f"is voter {len(voters)}: more than {MOST_VOTERS} make every decision "
+                                             "slower and none safer")
     for z, zone in enumerate(zones):
         here = [name for name in voters if roster[name] == z]
         if len(zones) > 1 and 2 * len(here) > len(voters):
--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -8,51 +8,73 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..decide import Controller
 from ..interface import Ways
 from ..membership.gateways import messages as swim
+from ..membership.gateways.cells import CellMap, CellPlace
 from ..membership.gateways.members import Changed, Members, Pace, Stood
 from ..membership.gateways.members import Say as SwimSay
 from ..membership.gateways.sight import Standing as Seen
 from ..protocol.peers import BadFrame, Codec
 from ..state.agreement import messages as agreed
 from ..state.agreement.council import Apply, Beat, Council, Dates, Keep, Kept, Order, Restore, Say, Tell
-from ..state.agreement.follow import Follower, date_from
+from ..state.agreement.follow import Follower, Questions, date_from
 from ..state.agreement.messages import Kind, Record
+from .cells import CellDuty, Heard, MemberReport, Resign, collectors
 from .neighbours import WAITING
 from .zones.check import wrong
-from .zones.facts import Facts, Gauge
+from .zones.facts import Gauge
 from .zones.follow import PlanBook
-from .zones.plan import Plan, Renewed, Summary, Terms
+from .zones.plan import CellReport, Gathered, Plan, Renewed, Terms
 from .zones.planner import Planner, View
+from .zones.rollup import CellFacts
 
 SECOND = 1_000_000_000
 MOST_COUNT = 1 << 60
-REPORT = SECOND  # ns between reports to whoever leads
+REPORT = SECOND  # ns between reports to the delegates
+GATHER = SECOND // 4  # ns between what a voter passes on of cells' reports to whoever leads
+WATCH = 4  # periods of which a member tells whom it asked: after a loss all that it reached is out of them
+QUIET = 4  # periods (of a second at least) in which no cell of a zone was heard before it may count as lost
+STALE = 6 * SECOND  # ns without a date after which a gateway asks the voters itself: a plan is renewed in a third of it
 RENEW = 5  # a plan is renewed so many times while it holds: an election's time has to fit into what is left
 ENTRIES = Codec({1: Plan, 2: Renewed})  # what an entry of the log holds
 MESSAGES = Codec({
     1: swim.Ping, 2: swim.Ack, 3: swim.Look, 4: swim.Nothing,
     10: agreed.Poll, 11: agreed.Ballot, 12: agreed.Append, 13: agreed.Install, 14: agreed.Taken, 15: agreed.Recall,
-    16: agreed.Recalled, 17: agreed.Since, 18: agreed.News,
-    30: Summary})
+    16: agreed.Recalled, 17: agreed.Since, 18: agreed.News, 19: agreed.Newer,
+    31: MemberReport, 32: CellReport, 33: Gathered, 34: Heard, 35: Resign})  # 30 was a front's report to the leader
 
 
 @dataclass(frozen=True, slots=True)
 class CommonPlace:
-    """What a gateway has to know of the others. `roster`: all gateways of the site and their zones' numbers."""
+    """What a gateway has to know of the others: its cell, contacts, watchers, and the voters with their zones' numbers.
+    Of the rest of the site it holds no names."""
 
     name: str
-    roster: Mapping[str, int]
+    zone: int
+    cells: CellPlace
     zones: tuple[str, ...]
-    voters: tuple[str, ...]
+    voters: Mapping[str, int]
     terms: Terms
     pace: Pace = Pace()
     beat: Beat = Beat()
 
+    @classmethod
+    def of(cls, name: str, cells: CellMap, zones: tuple[str, ...], voters: Sequence[str], terms: Terms,
+           pace: Pace = Pace(), beat: Beat = Beat()) -> CommonPlace:  # noqa: B008 - both are frozen
+        """The place of the gateway of that name in a site of these cells. KeyError for a name that is not of the
+        site."""
+        votes = name in voters
+        return cls(name, cells.roster[name], cells.place(name, votes), zones,
+                   {voter: cells.roster[voter] for voter in voters}, terms, pace, beat)
+
+    def peers(self) -> set[str]:
+        """Everybody who may speak to this gateway, or be spoken to."""
+        return {*self.cells.cell.names, *self.cells.contacts, *self.cells.watchers, *self.voters} - {self.name}
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
@@ -103,26 +125,32 @@
     def __init__(self, place: CommonPlace, gauge: Gauge, controller: Callable[[], Controller], kept: Kept | None,
                  seed: int, now: int, unix_ms: int, trusted: bool = False) -> None:
         self.place, self.gauge, self.controller = place, gauge, controller
-        self.zone = place.roster[place.name]
+        self.zone = place.zone
         self.random = random.Random(seed)
-        self.members = Members(place.name, place.roster, len(place.zones), place.pace, self.random.getrandbits(62), now,
-                               unix_ms)
+        self.members = Members(place.name, place.cells.roster, len(place.zones), place.pace,
+                               self.random.getrandbits(62), now, unix_ms, place.cells.watchers)
+        self.collectors = collectors(place.name, place.zone, place.cells.cell.key, place.voters,
+                                     place.terms.prices[place.zone])
+        self.duty = CellDuty(place.name, place.cells, place.terms, self.collectors, unix_ms, self._alive,
+                             now + int(self.random.random() * REPORT))
+        self._now = now
         self.council: Council | None = None
         self.follower: Follower | None = None
         if kept is not None:
-            self.council = Council(place.name, place.voters, kept, place.beat, self.random.getrandbits(62), now,
+            self.council = Council(place.name, tuple(place.voters), kept, place.beat, self.random.getrandbits(62), now,
                                    trusted)
         else:
             self.follower = Follower(self._sources, self.random.getrandbits(62), now)
-        self.facts = Facts(place.roster, place.terms)
+        self.facts = CellFacts(place.cells.sizes, place.terms)  # a voter's
         self.planner: Planner | None = None
         self.book = PlanBook(place.terms, self.zone)
         self.plan: Plan | None = None
         self.plan_index = 0
         self.renewed_at = now
         self.report_at = now + int(self.random.random() * REPORT)
+        self.gather_at = now + int(self.random.random() * GATHER)
         self.date_at = now  # a voter's next question for ages
-        self._asked: tuple[str, int] | None = None
+        self._questions = Questions(self.random.getrandbits(31))
         self.ways: Ways | None = None
         self.ways_at: int | None = now
         self.epochs = 0
@@ -183,16 +211,26 @@
         than them would fit into no frame, and who took them over would be understood by nobody from then on."""
         if getattr(message, "term", 0) >= MOST_COUNT or getattr(message, "incarnation", 0) >= MOST_COUNT:
             return
+        self._now = now
         if isinstance(message, swim.Ping | swim.Ack | swim.Look | swim.Nothing):
             self.members.hear(now, sender, message)
-        elif isinstance(message, Summary):
-            if message.name == sender:
-                self.facts.learn(now, message)
+        elif isinstance(message, MemberReport):
+            self.duty.reported(now, sender, message)
+        elif isinstance(message, CellReport):
+            self._collect(now, sender, message)
+        elif isinstance(message, Gathered):
+            if sender in self.place.voters:
+                for report, lay in message.reports:
+                    self.facts.learn(now, report, lay)
+        elif isinstance(message, Heard):
+            self.duty.heard(now, sender, message)
+        elif isinstance(message, Resign):
+            self.duty.resigned(now, sender, message)
         elif isinstance(message, agreed.Message):
             if self.council is not None and isinstance(message, agreed.News):
-                if self._asked is not None and self._asked[0] == sender:
-                    date_from(self.council.dates, self._asked[1], self.council.applied, message)
-                    self._asked = None
+                asked = self._questions.answered(sender, message.ask)
+                if asked is not None:
+                    date_from(self.council.dates, asked, self.council.applied, message)
             elif self.council is not None:
                 if not self.stuck:
                     self.council.hear(now, sender, message)
@@ -206,13 +244,17 @@
     def next_wake(self) -> int:
         core = self.council or self.follower
         assert core is not None
-        times = [self.members.next_wake(), self.report_at, *([] if self.stuck else [core.next_wake()])]
+        times = [self.members.next_wake(), self.report_at, self.duty.report_at,
+                 *([] if self.stuck else [core.next_wake()])]
+        if self.council is not None:
+            times.append(self.gather_at)
         if self.ways_at is not None:
             times.append(self.ways_at)
         return min(times)
 
     def wake(self, now: int) -> None:
         """Time has passed."""
+        self._now = now
         if now >= self.members.next_wake():
             self.members.wake(now)
         core = self.council or self.follower
@@ -223,33 +265,74 @@
             self.report_at = now + REPORT * 3 // 4 + int(self.random.random() * REPORT / 2)
             self._report(now)
             self._look(now)
+        if now >= self.duty.report_at:
+            self._report_cell(now)
+        if self.council is not None and now >= self.gather_at:
+            self.gather_at = now + GATHER
+            self._gather_cells(now)
         if self.council is not None:
             self._dates(now)
             self._lead(now)
         self._after(now)
 
-    def _sources(self) -> list[str]:
-        """Whom to ask for news: voters that live, the nearest first; others of the zone, that pass it on."""
-        living = set(self.members.living()) - {self.place.name}
-        prices = self.place.terms.prices[self.zone]
+    def _alive(self, name: str) -> bool:
+        member = self.members.members.get(name)
+        return member is not None and member.life is swim.Life.ALIVE
 
-        def far(name: str) -> tuple[float, str]:
-            zone = self.place.roster[name]
-            return (0.0 if zone == self.zone else abs(prices[zone]) + 1, name)
-        voters = sorted((name for name in self.place.voters if name in living), key=far)
-        same = sorted(name for name in living if self.place.roster[name] == self.zone and name not in voters)
-        return voters + same or [name for name in self.place.voters if name != self.place.name]
+    def _sources(self) -> list[str]:
+        """Whom to ask for news, best first: a delegate asks its collectors, the cell's other delegate, then the rest of
+        the voters; everybody else the delegates and others of the cell, and the voters where nothing was dated of
+        late."""
+        me, delegates = self.place.name, self.duty.delegates(self._now)
+        others = [name for name in delegates if name != me]
+        voters = [name for name in self.collectors if name != me]
+        if me in delegates:
+            return voters[:2] + others + voters[2:]
+        others += [name for name in self.duty.ranks if name != me and name not in others and self._alive(name)]
+        stale = self._now - self._dated().at > STALE
+        return others + voters if stale or not others else others
 
     def _leader(self) -> str:
         return self.council.leader if self.council is not None else self.follower.leader if self.follower else ""
 
+    # ---- reports: from members to delegates, from these to voters, from these to whoever leads
+
     def _report(self, now: int) -> None:
         summary = self.gauge.summary(now, self.controller(), self.plan.epoch if self.plan is not None else 0)
+        period = self.place.pace.period
+        report = MemberReport(summary, tuple(self.members.sight.lately(now, now - WATCH * period, period)))
+        self.duty.reported(now, self.place.name, report)
+        for name in self.duty.delegates(now):
+            if name != self.place.name:
+                self._out.append(Send(name, report))
+
+    def _report_cell(self, now: int) -> None:
+        found = self.duty.report(now, {name: int(member.life) for name, member in self.members.members.items()})
+        if found is None:
+            return
+        to, report = found
+        if to == self.place.name:
+            self.facts.learn(now, report)
+        else:
+            self._out.append(Send(to, report))
+        resign = self.duty.resigns(now)
+        if resign is not None:
+            self._out.append(Note("delegate resigns", (("cell", self.place.cells.cell.key),)))
+            self._out.extend(Send(name, resign) for name in self.place.cells.cell.names if name != self.place.name)
+
+    def _collect(self, now: int, sender: str, report: CellReport) -> None:
+        """A cell's report by one of its delegates, where this gateway votes."""
+        if self.council is None or report.by != sender or self.place.cells.watchers.get(sender) != report.zone:
+            return
+        if self.facts.learn(now, report):
+            self._out.append(Send(sender, Heard(report.number)))
+
+    def _gather_cells(self, now: int) -> None:
+        """Pass on to whoever leads what cells told since the last time."""
         leader = self._leader()
-        if leader == self.place.name:
-            self.facts.learn(now, summary)
-        elif leader in self.place.roster:
-            self._out.append(Send(leader, summary))
+        for gathered in self.facts.gather(now):
+            if leader in self.place.voters and leader != self.place.name:
+                self._out.append(Send(leader, gathered))
 
     def _dates(self, now: int) -> None:
         """A voter that does not lead asks who does for the age of what it has: its log may have lain in a socket."""
@@ -258,8 +341,8 @@
         if council.leader in ("", self.place.name) or now < self.date_at:
             return
         self.date_at = now + SECOND // 2
-        self._asked = (council.leader, now)
-        self._out.append(Send(council.leader, agreed.Since(council.applied)))
+        ask = self._questions.ask(now, council.leader)
+        self._out.append(Send(council.leader, agreed.Since(council.applied, ask)))
 
     # ---- leading
 
@@ -272,7 +355,6 @@
             return
         if self.planner is None:
             self.planner = Planner(self.place.terms, now)
-            self.facts.known.clear()  # reports of a time when this gateway did not lead may be old
             if self.plan is not None:
                 self.planner.committed(now, self.plan)
                 self.renewed_at = now - self.plan.holds  # the time without a leader was taken from it
@@ -293,9 +375,14 @@
                 self.renewed_at = now
 
     def view(self, now: int) -> View:
-        """What is known of the zones, for a plan."""
+        """What is known of the zones, for a plan. A zone is lost when its cells are silent to the council and to
+        others: by this gateway's own contacts there, or by the questions of all other zones' cells. One bad delegate, voter
+        or link leaves other ways to be heard by. Nor is it while this process may only not have listened."""
         standings = self.members.sight.standings(now)
-        silent = [zone != self.zone and (seen is Seen.SILENT or self._gone(zone))
+        quiet = QUIET * max(REPORT, self.place.pace.period)
+        unreached = self.facts.unreached(now)
+        silent = [zone != self.zone and now - self.members.stood > quiet and self.facts.silent(now, zone) > quiet
+                  and (seen is Seen.SILENT or unreached[zone] or self._gone(zone))
                   for zone, seen in enumerate(standings)]
         return View(self.facts.demand(now), self.facts.rooms(now), self.facts.ways(now), silent)
 
@@ -323,7 +410,9 @@
                 self._out.append(Note("entry not read", (("index", index), ("text", str(error)))))
         core = self.council or self.follower
         assert core is not None
-        if core.wants_snapshot:
+        if core.wants_snapshot and not self._waits:
+            # the core counts as applied what it handed out: a snapshot made while some of that still waits would say
+            # of an older plan that it stands at a newer index, and whoever took it over would follow that
             core.compact(ENTRIES.body(self.plan) if self.plan is not None else b"")
         self._after(now)
 
@@ -362,7 +451,8 @@
         """See to what followed from anything that happened."""
         self._gather(now)
         dates = self._dated()
-        if self.plan is not None and dates.index >= self.plan_index:
+        if self.plan is not None and not self._waits and dates.index >= self.plan_index:
+            # (a date of an entry that waits to be taken up says nothing of the plan before it)
             self.book.dated(dates.at)
         ways = self.book.ways(now)
         if ways != self.ways:
--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -11,7 +11,7 @@
 import random
 import struct
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 from trio import TaskStatus
@@ -66,6 +66,21 @@
         self.size = 0
 
 
+class _Outs(dict[str, _Out]):
+    """What waits, by peer; made when a peer is first spoken to: of all that may ask a voter, few do. KeyError for a
+    name that is none of `names`."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        super().__init__()
+        self.names = frozenset(names)
+
+    def __missing__(self, name: str) -> _Out:
+        if name not in self.names:
+            raise KeyError(name)
+        out = self[name] = _Out()
+        return out
+
+
 class _Silent(OSError):
     """The peer counts nothing any more."""
 
@@ -79,7 +94,7 @@
         self.network, self.me, self.fleet, self.life = network, me, fleet, life
         self.addresses, self.codec, self.heard, self.log, self.random = addresses, codec, heard, log, rng
         self.address = ""
-        self._outs = {name: _Out() for name in addresses if name != me}
+        self._outs = _Outs(name for name in addresses if name != me)
         self._in: dict[str, tuple[int, int, trio.CancelScope]] = {}  # life and number of the newest, by sender
         self._number = 0
         self._new = 0
@@ -234,8 +249,8 @@
         one must not come after what the newer one brings."""
         if one.fleet != self.fleet:
             raise BadFrame(f"a gateway of another fleet, or of other settings, as {one.sender!r}")
-        if one.sender not in self._outs:
-            raise BadFrame(f"{one.sender!r} is none of the site's other gateways")
+        if one.sender not in self._outs.names:
+            raise BadFrame(f"{one.sender!r} is none of the gateways that speak to this one")
         if one.to != self.me:
             raise BadFrame(f"{one.sender!r} wants {one.to!r} here")
         before = self._in.get(one.sender)
--- a/copperyard/gateway/peers/place.py
+++ b/copperyard/gateway/peers/place.py
@@ -15,4 +15,6 @@
     shelf = None
     if name in plan.voters:
         shelf = SqliteShelf(folder) if plan.store == "sqlite" else FolderShelf(folder)
-    return Neighbourhood(plan.place(name), plan.listen[name], plan.reach, plan.fleet, shelf, trusted)
+    place = plan.place(name)
+    reach = {other: plan.reach[other] for other in sorted(place.peers())}
+    return Neighbourhood(place, plan.listen[name], reach, plan.fleet, shelf, trusted)
--- a/copperyard/lab/sites/simulated.py
+++ b/copperyard/lab/sites/simulated.py
@@ -19,6 +19,7 @@
 from ...control.zones.facts import Gauge
 from ...control.zones.plan import Plan, Standing, Terms
 from ...interface import Ways
+from ...membership.gateways.cells import CellMap
 from ...membership.gateways.members import Changed, Members, Pace, Say, Stood
 from ...membership.gateways.messages import Life
 from ...state.agreement.council import Council, Kept
@@ -155,6 +156,8 @@
         self.terms = Terms(prices, (1.0,), (RATE,), tuple(self.sizes), **terms)
         self.roster = {f"g{z}-{n}": z for z in range(zones) for n in range(self.sizes[z])}
         self.voters = voters or (("g0-0", "g2-0", "g4-0") if zones > 4 else ("g0-0", "g1-0", "g2-0"))
+        self.cells = CellMap(self.roster, zones)
+        self._places: dict[str, CommonPlace] = {}
         self.zone_names = tuple(f"z{z}" for z in range(zones))
         self.rooms = [room] * zones
         self.demand = [asked] * zones
@@ -178,8 +181,11 @@
             self.start(name)
 
     def place(self, name: str) -> CommonPlace:
-        """What a gateway knows from its settings. All but its name is shared by all."""
-        return CommonPlace(name, self.roster, self.zone_names, self.voters, self.terms)
+        """What a gateway knows from its settings, as each works it out for itself."""
+        found = self._places.get(name)
+        if found is None:
+            found = self._places[name] = CommonPlace.of(name, self.cells, self.zone_names, self.voters, self.terms)
+        return found
 
     def time(self, name: str) -> int:
         return self.net.time_of(name) if name in self.net.nodes else self.net.now
--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -109,12 +109,15 @@
 
 
 class Members:
-    """One gateway's view. `roster` names all gateways of the settings with their zones' numbers; `incarnation` has to
-    be above any that this gateway had before (the date in ms does; a clock set back is found out and passed)."""
+    """One gateway's view. `roster` names whom it knows, itself among them, with their zones' numbers: its cell and its
+    contacts (cells.py); `watchers` are others that know this one for a contact: they get answers, nothing is held of
+    them. `incarnation` has to be above any that this gateway had before (the date in ms does; a clock set back is found
+    out and passed)."""
 
     def __init__(self, me: str, roster: Mapping[str, int], zones: int, pace: Pace, seed: int, now: int,
-                 incarnation: int) -> None:
+                 incarnation: int, watchers: Mapping[str, int] | None = None) -> None:
         self.me, self.zone, self.pace = me, roster[me], pace
+        self.watchers = watchers if watchers is not None else {}
         self.random = random.Random(seed)
         self.incarnation = incarnation
         self.members = {name: Member(name, zone, since=now) for name, zone in roster.items() if name != me}
@@ -278,8 +281,11 @@
     # ---- hearing
 
     def hear(self, now: int, sender: str, message: Message) -> None:
-        """A message of another gateway of the roster."""
-        member = self.members[sender]
+        """A message of another gateway, known or one that knows this one."""
+        member = self.members.get(sender)
+        if member is None:
+            self._watched(now, sender, message)
+            return
         if isinstance(message, Ping | Ack | Look):
             for rumour in message.rumours:
                 self._heard(now, rumour)
@@ -302,8 +308,26 @@
         else:
             self._answered(now, sender, message)
 
+    def _watched(self, now: int, sender: str, message: Message) -> None:
+        """A watcher asks. What it says of those that are known here counts, and that it speaks at all: its zone lives.
+        One that neither knows the other says nothing to."""
+        zone = self.watchers.get(sender)
+        if zone is None or not isinstance(message, Ping | Look):
+            return
+        for rumour in message.rumours:
+            self._heard(now, rumour)
+        if isinstance(message, Look):
+            self._errand(now, sender, message)
+            return
+        self.sight.spoke(now, zone)
+        self._say(sender, Ack(message.number, self.me, self._carry(sender), self.sight.carry(self.random, ROWS)))
+
     def _errand(self, now: int, sender: str, message: Look) -> None:
-        if message.target not in self.members or len(self._errands) > 2 * len(self.members):
+        if message.target not in self.members:
+            # whom one does not know one cannot ask; but who asked is not the deaf one
+            self._say(sender, Nothing(message.number))
+            return
+        if len(self._errands) > 2 * len(self.members):
             return
         self._number += 1
         self._errands[self._number] = Errand(sender, message.number, now + self.pace.timeout * 4 // 5,
--- a/copperyard/membership/gateways/sight.py
+++ b/copperyard/membership/gateways/sight.py
@@ -56,6 +56,7 @@
         self.me, self.zone_of, self.zones = me, zone_of, zones
         self._seen = {name: _Seen() for name in zone_of if name != me}
         self.rows: dict[str, tuple[int, Row]] = {}  # when it was learned, the row
+        self._spoke = [-1] * zones  # when somebody that is not known by name last spoke, by its zone
         self._number = 0
         self.span = WINDOW * SECOND
         self._fresh = FRESH * SECOND
@@ -74,6 +75,27 @@
     def heard(self, now: int, name: str) -> None:
         self._seen[name].heard = now
 
+    def spoke(self, now: int, zone: int) -> None:
+        """A gateway of that zone that is not known here by name asked something."""
+        self._spoke[zone] = now
+
+    def lately(self, now: int, since: int, period: int) -> list[tuple[int, int, int, int]]:
+        """By zone, of the gateways that were asked since then: how many, how many of them answered, how many answered
+        late, and how many spoke by themselves. A question of the last `period` that may still be answered is none."""
+        cells = [[0, 0, 0, 0] for _ in range(self.zones)]
+        for name, seen in self._seen.items():
+            row = cells[self.zone_of[name]]
+            if seen.asked >= max(0, since) and (seen.reached >= seen.asked or now - seen.asked >= period):
+                row[0] += 1
+                if seen.reached >= seen.asked:
+                    row[1] += 1
+                    row[2] += seen.late
+            if seen.heard >= max(0, since):
+                row[3] += 1
+        for zone, at in enumerate(self._spoke):
+            cells[zone][3] += at >= max(0, since)
+        return [(a, b, c, d) for a, b, c, d in cells]
+
     def forget(self, now: int) -> None:
         """This process stood still: what it did not hear meanwhile says nothing of the others."""
         for seen in self._seen.values():
@@ -83,22 +105,10 @@
     def tick(self, now: int, incarnation: int, period: int) -> None:
         """A period has begun: the own row is made anew."""
         self.span, self._fresh = WINDOW * period, FRESH * period
-        zones = [[0, 0, 0, 0] for _ in range(self.zones)]
-        since = now - self.span
-        for name, seen in self._seen.items():
-            cells = zones[self.zone_of[name]]
-            # a question that went out just now may still be answered
-            due = seen.asked >= max(0, since) and (seen.reached >= seen.asked or now - seen.asked >= period)
-            if due:
-                cells[0] += 1
-                if seen.reached >= seen.asked:
-                    cells[1] += 1
-                    cells[3] += seen.late
-            if seen.heard >= max(0, since):
-                cells[2] += 1
         self._number += 1
-        self.rows[self.me] = (now, Row(self.me, incarnation, self._number,
-                                       tuple((a, b, c, d) for a, b, c, d in zones)))
+        found = self.lately(now, now - self.span, period)
+        self.rows[self.me] = (now, Row(self.me, incarnation, self._number, tuple(
+            (asked, reached, heard, late) for asked, reached, late, heard in found)))
 
     # ---- the others' rows
 
@@ -149,7 +159,7 @@
     def cut_off(self, now: int) -> bool:
         """Whether nothing at all came lately from any other zone, though there are two or more."""
         here = self.zone_of[self.me]
-        last: dict[int, int] = {}
+        last: dict[int, int] = {zone: at for zone, at in enumerate(self._spoke) if zone != here and at >= 0}
         for name, seen in self._seen.items():
             zone = self.zone_of[name]
             if zone != here:
--- a/copperyard/protocol/peers/frames.py
+++ b/copperyard/protocol/peers/frames.py
@@ -26,7 +26,7 @@
 import msgpack
 
 MAGIC = "copperyard"
-VERSION = 1
+VERSION = 2  # 1: every gateway knew every other and reported to whoever leads
 MOST_FRAME = 1 << 20  # bytes of a body; a plan of 64 zones and 32 classes takes a tenth of it
 MOST_HELLO = 512
 MOST_TEXT = 256
--- a/tests/gateway/peers/test_neighbours.py
+++ b/tests/gateway/peers/test_neighbours.py
@@ -16,6 +16,7 @@
 from copperyard.lab import virtual
 from copperyard.lab.memnet import MemoryNetwork
 from copperyard.lab.sites.shelf import MemoryShelf, Plate
+from copperyard.membership.gateways.cells import CellMap
 from copperyard.state.agreement.messages import Since
 
 SECOND = 1_000_000_000
@@ -37,7 +38,7 @@
 
     async def start(self, nursery, name):
         self.lives += 1
-        place = CommonPlace(name, ROSTER, NAMES, NAMES, TERMS)
+        place = CommonPlace.of(name, CellMap(ROSTER, 3), NAMES, NAMES, TERMS)
         hood = Neighbourhood(place, self.addresses[name], self.addresses, b"fleet", MemoryShelf(self.plates[name]))
         gauge = Gauge(name, self.lives, 3, (SECOND,), TERMS, now())
         made = Neighbours(hood, gauge, lambda: self.controller, self.network,
