--- a/copperyard/control/zones/facts.py
+++ b/copperyard/control/zones/facts.py
@@ -15,6 +15,9 @@
 LENGTH_WEIGH = 0.1  # least weight of the newest session in the mean length
 MOST_WISHES = 100_000
 WAY_TRIES = 6  # set-ups before what became of them says anything of a way between zones
+MOST_COUNT = 1 << 60  # what no life, number or epoch comes to; ns as well: 36 years
+MOST_TRIES = 1 << 40  # set-ups, hosts or questions that nobody counts to; sums over a site still fit into a frame
+MOST_LOAD = 1e15  # kB a second that nothing asks or gives
 
 
 class Gauge:
@@ -110,6 +113,34 @@
             self.gauge.tried(now, known.entry.zone, broke)
 
 
+def median(points: Iterable[tuple[float, int]]) -> float:
+    """The value in the middle, the upper of two, where each counts as often as it says; 0 for none."""
+    ordered = sorted(points)
+    left = sum(weight for _, weight in ordered) // 2
+    for value, weight in ordered:
+        left -= weight
+        if left < 0:
+            return value
+    return 0.0
+
+
+def worth(tried: int, broke: int) -> float:
+    """What part of set-ups on a way did not break; 1 where there were too few to say."""
+    return 1.0 - broke / tried if tried >= WAY_TRIES else 1.0
+
+
+def told(summaries: Iterable[Summary]) -> list[Summary]:
+    """Those that say anything of rooms: a front that knows no host at all has not heard a list yet."""
+    return [s for s in summaries if any(hosts.hosts for hosts in s.zones)]
+
+
+def _possible(summary: Summary) -> bool:
+    """Whether the figures are such as a front can have: others would spoil the sums of a whole cell."""
+    return 0 <= summary.life < MOST_COUNT and 0 <= summary.number < MOST_COUNT and 0 <= summary.epoch < MOST_COUNT \
+        and all(0 <= kb <= MOST_LOAD for kb in summary.demand) \
+        and all(0 <= z.room <= MOST_LOAD and 0 <= z.broke <= z.tried < MOST_TRIES for z in summary.zones)
+
+
 class Facts:
     """Summaries by gateway, the newest of each. `zone_of` names all gateways of the settings."""
 
@@ -120,7 +151,7 @@
     def learn(self, now: int, summary: Summary) -> bool:
         """Take a report; whether it was news."""
         if summary.name not in self.zone_of or len(summary.zones) != self.terms.zones \
-                or len(summary.demand) != len(self.terms.loads):
+                or len(summary.demand) != len(self.terms.loads) or not _possible(summary):
             return False
         known = self.known.get(summary.name)
         if known is not None and (known[1].life, known[1].number) >= (summary.life, summary.number):
@@ -149,14 +180,12 @@
 
     def rooms(self, now: int) -> list[float]:
         """What each zone's hosts give, as the median of the fronts that reach them best: its own where it has any that
-        report, all others' else. Each front lists the same hosts; which of them are ill each sees for itself. One that
-        knows no host at all has not heard a list yet and says nothing."""
+        report, all others' else. Each front lists the same hosts; which of them are ill each sees for itself."""
         found = []
-        told = [s for s in self.fresh(now) if any(hosts.hosts for hosts in s.zones)]
+        fresh = told(self.fresh(now))
         for z in range(self.terms.zones):
-            own = [s.zones[z].room for s in told if self.zone_of[s.name] == z]
-            seen = own or [s.zones[z].room for s in told]
-            found.append(sorted(seen)[len(seen) // 2] if seen else 0.0)
+            own = [(s.zones[z].room, 1) for s in fresh if self.zone_of[s.name] == z]
+            found.append(median(own or [(s.zones[z].room, 1) for s in fresh]))
         return found
 
     def ways(self, now: int) -> list[list[float]]:
@@ -167,7 +196,7 @@
             for z, hosts in enumerate(one.zones):
                 sums[self.zone_of[one.name]][z][0] += hosts.tried
                 sums[self.zone_of[one.name]][z][1] += hosts.broke
-        return [[1.0 - broke / tried if tried >= WAY_TRIES else 1.0 for tried, broke in row] for row in sums]
+        return [[worth(tried, broke) for tried, broke in row] for row in sums]
 
     def epochs(self, now: int) -> list[int]:
         """The oldest epoch that any front of each zone may still follow: 0 where one of them does not report."""
--- a/copperyard/control/zones/plan.py
+++ b/copperyard/control/zones/plan.py
@@ -45,6 +45,54 @@
     zones: tuple[HostsOf, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Zonal:
+    """What a cell knows of one zone. `rooms`: (room in kB a second, how many of its fronts report it), ascending, of
+    fronts that know any host (rollup.sketch); `tried`, `broke`: sums over its fronts; of questions that its gateways
+    asked of that zone's of late: how many, how many were answered, from how many it heard by itself, how many answers
+    came late."""
+
+    rooms: tuple[tuple[float, int], ...]
+    tried: int
+    broke: int
+    asked: int
+    reached: int
+    heard: int
+    late: int
+
+
+@dataclass(frozen=True, slots=True)
+class CellReport:
+    """What the delegate `by` says of its cell. `digest`: of the cell's names, by which two rosters are told apart. A
+    newer (life, number) of the same `by` replaces an older one.
+
+    `heard`: members with a fresh report; `epoch`: the least that any member may still follow, 0 if one was not heard;
+    `age`: ns, when sent, since the oldest report that counts here came in; `suspect`, `dead`, `left`: bits over the
+    cell's sorted names; `demand`: kB a second, by class."""
+
+    zone: int
+    cell: int
+    digest: int
+    by: str
+    life: int
+    number: int
+    age: int
+    heard: int
+    epoch: int
+    suspect: int
+    dead: int
+    left: int
+    demand: tuple[float, ...]
+    zones: tuple[Zonal, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """Reports that one of the council passes on, each with the ns that it lay there."""
+
+    reports: tuple[tuple[CellReport, int], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ZonePlan:
     """One zone's part: as a home of viewers, and as a place of hosts.
