--- a/copperyard/control/zones/rollup.py
+++ b/copperyard/control/zones/rollup.py
@@ -117,7 +117,6 @@
         self.cells, self.terms = dict(cells), terms
         self.known: dict[tuple[int, int], dict[str, _Kept]] = {}
         self._news: set[tuple[int, int, str]] = set()
-        self._heard = [-NEVER] * terms.zones  # by zone: when the latest report of it was sent
         self._sizes = [0] * terms.zones
         for (zone, _), (_, size) in self.cells.items():
             self._sizes[zone] += size
@@ -126,7 +125,6 @@
         """Forget all reports."""
         self.known.clear()
         self._news.clear()
-        self._heard = [-NEVER] * self.terms.zones
 
     def learn(self, now: int, report: CellReport, lay: int = 0) -> bool:
         """Take a report that lay `lay` ns with whoever passed it on; whether it was news. One of an unknown cell, of
@@ -147,7 +145,6 @@
             del kept[oldest]
             self._news.discard((*key, oldest))
         self._news.add((*key, report.by))
-        self._heard[report.zone] = max(self._heard[report.zone], sent)
         return True
 
     def _right(self, report: CellReport) -> bool:
@@ -241,8 +238,9 @@
         return found
 
     def silent(self, now: int, zone: int) -> int:
-        """ns since the last report of any cell of the zone was sent; NEVER or more if there was none."""
-        return now - self._heard[zone]
+        """ns since the last report of any cell of the zone was sent; NEVER if none is known."""
+        return min((now - one.sent for key, kept in self.known.items() if key[0] == zone for one in kept.values()),
+                   default=NEVER)
 
     def unreached(self, now: int) -> list[bool]:
         """By zone: whether the other zones' cells asked its gateways and got no answer at all. It takes LEAST_ASKED
