Followers are told of what is newer, and ask seldom when all is quiet

Need: at 24 to a cell a question each half second costs too much, and at 2 s an entry would take seconds a hop. Change: `Newer(index)`, to who asked of late (`listeners.py`); it carries neither entry nor date. `Since` and `News` carry a number: today an answer's age is counted from the newest question to its sender, so that an answer that lay in a socket past the next question is taken for younger than it is. (control/common.py still does so for voters; not changed here.) Two rows of tests/protocol/peers/test_frames.py have the field more, and name what they did.

--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -37,7 +37,7 @@
 MESSAGES = Codec({
     1: swim.Ping, 2: swim.Ack, 3: swim.Look, 4: swim.Nothing,
     10: agreed.Poll, 11: agreed.Ballot, 12: agreed.Append, 13: agreed.Install, 14: agreed.Taken, 15: agreed.Recall,
-    16: agreed.Recalled, 17: agreed.Since, 18: agreed.News,
+    16: agreed.Recalled, 17: agreed.Since, 18: agreed.News, 19: agreed.Newer,
     30: Summary})
 
 
--- a/copperyard/state/agreement/council.py
+++ b/copperyard/state/agreement/council.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .listeners import Listeners
 from .messages import (
     Append,
     Ballot,
@@ -28,6 +29,7 @@
     Install,
     Kind,
     Message,
+    Newer,
     News,
     Poll,
     Recall,
@@ -171,6 +173,8 @@
         self.began = 0  # index of this leader's first entry
         self.lives: dict[str, tuple[int, int, int]] = {}  # life, start, the highest life before it
         self.dates = Dates()
+        self.listeners = Listeners()
+        self._now = now  # of the last call
         self._pending: dict[int, int] = {}  # when this leader proposed what is not committed yet
         self.recovering = True
         self.recalled: dict[str, Recalled] = {}
@@ -189,7 +193,10 @@
     # ---- what others ask of this object
 
     def take(self) -> list[Order]:
-        """Orders since the last call; what follows a Keep waits for it."""
+        """Orders since the last call; what follows a Keep waits for it. Followers that asked of late are told where
+        more is committed; voters hear of that by what they are sent as voters."""
+        for name in self.listeners.due(self._now, self.commit, self.dates.index):
+            self._say(name, Newer(self.listeners.index))
         out, self._out = self._out, []
         return out
 
@@ -246,6 +253,7 @@
     def _propose(self, now: int, entry: Entry) -> int | None:
         if self.role is not Role.LEADER or self.last - self.commit >= QUEUE_MOST:
             return None
+        self._now = now
         self._write([(self.last + 1, entry)])
         index = self.last
         self._pending[index] = now
@@ -279,10 +287,10 @@
                 return names(entry.data)
         return self.snapshot.voters or self.first_voters
 
-    def news(self, now: int, index: int) -> News:
-        """What a follower that knows all up to `index` lacks."""
+    def news(self, now: int, since: Since) -> News:
+        """What a follower that asks so lacks."""
         dated, age = self.dates.told(now)
-        return news(index, self.snapshot, self.log, self.commit, self.leader, dated, age)
+        return news(since, self.snapshot, self.log, self.commit, self.leader, dated, age)
 
     # ---- what is durable
 
@@ -389,6 +397,7 @@
 
     def wake(self, now: int) -> None:
         """Time has passed."""
+        self._now = now
         due = self.next_wake()
         if now - due > STOOD:
             # this process stood still: it has not heard what lies unread, and is no judge of a leader's silence
@@ -624,8 +633,11 @@
 
     def hear(self, now: int, sender: str, message: Message) -> None:
         """A message of another gateway."""
+        self._now = now
         if isinstance(message, Since):
-            self._say(sender, self.news(now, message.index))
+            self._say(sender, self.news(now, message))
+            if sender not in self.voters:
+                self.listeners.asked(now, sender, min(self.commit, self.dates.index))
         elif isinstance(message, Recall):
             self._on_recall(now, sender, message)
         elif isinstance(message, Recalled):
@@ -666,12 +678,12 @@
     return tuple(found)
 
 
-def news(index: int, snapshot: Snapshot, log: list[Entry], commit: int, leader: str, dated: int, age: int) -> News:
-    """What one that knows all up to `index` lacks of what is committed."""
+def news(since: Since, snapshot: Snapshot, log: list[Entry], commit: int, leader: str, dated: int, age: int) -> News:
+    """What one that asks so lacks of what is committed."""
     done = log[:max(0, commit - snapshot.index)]
-    if index < snapshot.index:
-        return News(snapshot, snapshot.index, batch(done, 0), commit, leader, dated, age)
-    return News(None, index, batch(done, index - snapshot.index), commit, leader, dated, age)
+    if since.index < snapshot.index:
+        return News(snapshot, snapshot.index, batch(done, 0), commit, leader, dated, age, since.ask)
+    return News(None, since.index, batch(done, since.index - snapshot.index), commit, leader, dated, age, since.ask)
 
 
 class Dates:
--- a/copperyard/state/agreement/messages.py
+++ b/copperyard/state/agreement/messages.py
@@ -112,9 +112,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Since:
-    """A follower asks for what was committed after `index`."""
+    """A follower asks for what was committed after `index`. `ask` is the asker's own and comes back: an answer's age is
+    counted from the question that it answers, and not from a later one to the same."""
 
     index: int
+    ask: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,9 +131,18 @@
     leader: str
     dated: int
     age: int
+    ask: int = 0
 
 
-Message = Poll | Ballot | Append | Install | Taken | Recall | Recalled | Since | News
+@dataclass(frozen=True, slots=True)
+class Newer:
+    """I hold what was committed up to `index`; ask me. It carries no entry and no date, so nothing is taken for younger
+    than it is however long this lay in a socket: who lacks that much asks, and counts from its own question."""
+
+    index: int
+
+
+Message = Poll | Ballot | Append | Install | Taken | Recall | Recalled | Since | News | Newer
 
 
 # ---- what a voter keeps
--- a/tests/protocol/peers/test_frames.py
+++ b/tests/protocol/peers/test_frames.py
@@ -12,12 +12,13 @@
 from copperyard.control.zones.plan import HostsOf, Plan, Standing, Summary, ZonePlan
 from copperyard.membership.gateways.messages import Life, Ping, Row, Rumour
 from copperyard.protocol.peers import MOST_FRAME, BadFrame, Codec, Hello, Reader, hello, read_hello
-from copperyard.state.agreement.messages import Append, Entry, Kind, News, Snapshot
+from copperyard.state.agreement.messages import Append, Entry, Kind, Newer, News, Since, Snapshot
 
 SAMPLES = [
     Ping(1, 2, (Rumour("gw-1", Life.SUSPECT, 3, "gw-2"),), (Row("gw-1", 1, 2, ((1, 1, 0, 0),)),)),
     Append(3, 2, 1, (Entry(3, Kind.DATA, b"x"), Entry(3, Kind.BEGIN, b"")), 1, 9),
     News(Snapshot(4, 1, ("a", "b"), b"data"), 4, (), 4, "a", 4, 5), News(None, 0, (), 0, "", 0, 0),
+    Since(3, 1 << 31), News(None, 3, (), 3, "a", 2, 1, 1 << 31), Newer(7),
     Summary("gw-1", 1, 2, 3, (1.5, 0.0), (HostsOf(1.0, 0.5, 2, 1, 0, 0),)),
 ]
 
@@ -39,9 +40,9 @@
 @pytest.mark.parametrize(("body", "word"), [
     ([99, 1], "kind 99"), ([], "no list with a kind"), (["a"], "no list with a kind"), ({}, "no list"),
     ([2, 1], "Ack is no list of 4"), ([4, "x"], "Nothing.number is no whole number"), ([4, 1 << 63], "whole number"),
-    ([4, True], "whole number"), ([17, 1.5], "Since.index"), ([2, 1, "a" * 300, [], []], "no text of at most 256"),
+    ([4, True], "whole number"), ([17, 1.5, 0], "Since.index"), ([2, 1, "a" * 300, [], []], "no text of at most 256"),
     ([3, 1, "t", [["n", 9, 1, "b"]]], "Rumour.life"), ([30, "a", 1, 1, 1, [float("nan")], []], "no finite number"),
-    ([12, 1, 1, 1, [[1, 1, "text"]], 1, 1], "Entry.data is no bytes"), ([18, 5, 0, [], 0, "", 0, 0], "Snapshot")])
+    ([12, 1, 1, 1, [[1, 1, "text"]], 1, 1], "Entry.data is no bytes"), ([18, 5, 0, [], 0, "", 0, 0, 0], "Snapshot")])
 def test_a_body_that_is_none_of_ours_is_refused_with_its_place(body, word):
     with pytest.raises(BadFrame, match=word):
         MESSAGES.read(msgpack.packb(body))
