--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,694 @@
+"""What a fleet's control costs and how soon it knows, by the number of gateways. Virtual clock, one process.
+
+    python -m benchmarks.scale N --seed S [--voters V] [--for S] [--faults NAME ...] [--json FILE]
+
+N gateways in 5 zones of 2 regions; an odd council spread over all zones. Each scenario of `SCENARIOS` goes on where
+the one before it ended; links take 1 to 60 ms and lose 1 message in 100. The last line is one JSON object, also where
+the run was stopped (`stopped` says why). Processor time is this thread's, of the product's common part alone (hear,
+wake, next_wake, take); bytes are those of true frames, sent and received, weighed at the council, the relays and some
+200 drawn gateways. Exit: 0 all ran and all rules held, 1 not so, 2 bad input, with one line and nothing started.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import os
+import random
+import subprocess
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import partial
+from pathlib import Path
+from types import BuiltinFunctionType, FunctionType, MethodType, ModuleType
+from typing import Any, NoReturn
+
+from copperyard.control.common import MESSAGES, Common, CommonPlace, Note
+from copperyard.control.zones.plan import Standing
+from copperyard.lab.sites.events import Manner
+from copperyard.lab.sites.simulated import MS, SECOND, Broken, Front, Site, spread
+from copperyard.membership.gateways.messages import Life
+
+ZONES, REGIONS = 5, [0, 0, 0, 1, 1]
+LINKS = Manner(loss=0.01, delay=(1 * MS, 60 * MS))
+CPU, BYTES = 12.0, 18_000.0  # what the operators allow a gateway: ms of a core a second, bytes a second
+SESSIONS, KB = 4, 100.0  # sessions of a gateway here, kB/s of each
+ROOM = 2.0  # hosts' room over what is asked
+WEIGHED, HELD = 200, 8  # gateways drawn whose frames are weighed, whose memory is walked
+CELL = 24  # of so many gateways one is killed where the mechanism knows no relays: as many as a delegate each
+RACK = 40
+WEEK = {"failures": 126 / 7400, "replaced": 11_900 / 7400}  # of a week's, a gateway
+GOES_ON = 0.25  # virtual seconds between looks at limits
+
+
+class Stopped(Exception):
+    """The run ends before its scenarios do; the text says why."""
+
+
+# ---- what a gateway holds
+
+
+def attributes(thing: object) -> Iterator[tuple[str, Any]]:
+    names = list(getattr(thing, "__dict__", ()))
+    for kind in type(thing).__mro__:
+        slots = kind.__dict__.get("__slots__", ())
+        names += [slots] if isinstance(slots, str) else list(slots)
+    return ((name, getattr(thing, name)) for name in names if hasattr(thing, name))
+
+
+def ours(thing: object) -> bool:
+    return type(thing).__module__.startswith("copperyard.") and not isinstance(thing, Enum | type)
+
+
+def census(thing: object, shared: set[int]) -> Counter[str]:
+    """How many entries each container has that hangs on a gateway's part, by the way to it; `shared`: ids of what is
+    passed over. What is in frozen messages counts as one."""
+    found: Counter[str] = Counter()
+    seen = set(shared)
+
+    def walk(one: object, path: str) -> None:
+        if id(one) in seen:
+            return
+        seen.add(id(one))
+        if isinstance(one, dict | list | set | deque):
+            found[path] += len(one)
+            for value in one.values() if isinstance(one, dict) else one:
+                if isinstance(value, dict | list | set | deque) or ours(value) and not frozen(value):
+                    walk(value, path + "[]")
+        elif ours(one) and not frozen(one):
+            for name, value in attributes(one):
+                walk(value, f"{path}.{name}" if path else name)
+
+    walk(thing, "")
+    return found
+
+
+def frozen(thing: object) -> bool:
+    return is_dataclass(thing) and bool(getattr(type(thing), "__dataclass_params__").frozen)  # noqa: B009
+
+
+def held_bytes(thing: object, shared: set[int]) -> int:
+    """Bytes of all that hangs on a thing, by `sys.getsizeof`, each once; code and classes are passed over. The
+    allocator's own loss is not in it."""
+    seen, stack, size = set(shared), [thing], 0
+    while stack:
+        one = stack.pop()
+        if id(one) in seen or isinstance(one, type | ModuleType | FunctionType | MethodType | BuiltinFunctionType
+                                         | Enum):
+            continue
+        seen.add(id(one))
+        size += sys.getsizeof(one)
+        stack.extend(gc.get_referents(one))
+    return size
+
+
+def settings(place: CommonPlace) -> set[int]:
+    """Ids of what a gateway has from its settings and shares with all here: names, zones, terms."""
+    found = {id(place)} | {id(getattr(place, field.name)) for field in fields(place)}
+    return found | {id(name) for name in place.roster} | {id(name) for name in place.voters}
+
+
+# ---- what the mechanism tells of itself
+
+
+def relays(core: Common) -> bool:
+    """Whether a gateway stands between others and the council. Nobody does in a flat site."""
+    return bool(getattr(core, "relaying", False))
+
+
+def knows_dead(core: Common, name: str) -> bool:
+    """Whether a gateway holds another for dead, by its own membership or by what was reported to it."""
+    told: Callable[[str], bool] | None = getattr(core, "knows_dead", None)
+    if told is not None:
+        return told(name)
+    member = core.members.members.get(name)
+    return member is not None and member.life >= Life.DEAD
+
+
+def mechanism() -> str:
+    return "cells" if any(field.name == "cells" for field in fields(CommonPlace)) else "flat"
+
+
+# ---- one run
+
+
+def resident_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def free_mb() -> float:
+    lines = Path("/proc/meminfo").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("MemAvailable")) / 1e3
+
+
+def cut(values: list[float], part: float) -> float | None:
+    """The value at that part of all, None of none."""
+    found = sorted(values)
+    return round(found[min(len(found) - 1, int(part * len(found)))], 3) if found else None
+
+
+class Run:
+    """A site that scenarios play on. `wall`: real seconds, `memory`: MB, after which Stopped is raised."""
+
+    def __init__(self, gateways: int, seed: int, voters: int, wall: float = 1e9, memory: float = 1e9,
+                 manner: Manner = LINKS) -> None:
+        sizes = [gateways // ZONES + (z < gateways % ZONES) for z in range(ZONES)]
+        self.gateways, self.wall, self.memory = gateways, wall, memory
+        self.begun = time.monotonic()
+        self.ran = 0.0  # real seconds in which virtual ones passed
+        self.random = random.Random(seed)
+        self.site = Site(seed, ZONES, sizes[0], REGIONS, manner, sizes=sizes, voters=spread(voters, ZONES), notes=0,
+                         measured=True, begin=False)
+        self.site.demand = [size * SESSIONS * KB for size in sizes]
+        self.site.rooms = [ROOM * kb for kb in self.site.demand]
+        self.full = list(self.site.rooms)
+        assert self.site.tallies is not None
+        self.tallies = self.site.tallies
+        self.weighed: set[str] = set()
+        self.windows: list[dict[str, tuple[float, float]]] = []  # of a second each: ms, bytes (weighed ones)
+        self.recording = False
+        self.dead_at: dict[str, dict[str, int]] = {}  # of watched ones: who held it for dead, when
+        self.wrong: dict[str, set[str]] = {}  # gateways that run and were held for dead: by whom
+        self.since: dict[str, int] = {}  # when a gateway last began, or was last killed or cut off
+        self.took: dict[int, dict[str, int]] = {}  # by epoch: when who took it up
+        self.at: dict[str, int] = {}  # when who took up its newest
+        self.epoch: dict[str, int] = {}
+        net = self.site.net
+        net.sending, net.arriving, self.site.noted = self._sending, self._arriving, self._noted
+
+    # ---- what the site tells
+
+    def _sending(self, sender: str, to: str, message: Any) -> None:
+        tally = self.tallies[sender]
+        tally.sent += 1
+        tally.peers.add(to)
+        if sender in self.weighed:
+            tally.sent_bytes += len(MESSAGES.frame(message))
+
+    def _arriving(self, sender: str, to: str, message: Any) -> None:
+        tally = self.tallies[to]
+        tally.got += 1
+        if to in self.weighed:
+            tally.got_bytes += len(MESSAGES.frame(message))
+
+    def _noted(self, front: Front, note: Note) -> None:
+        now = self.site.net.now
+        if note.event == "plan":
+            epoch = int(dict(note.fields)["epoch"])
+            self.took.setdefault(epoch, {})[front.name] = now
+            self.epoch[front.name] = epoch
+            if len(self.took) > 8:
+                del self.took[min(self.took)]
+        elif note.event == "gateway dead":
+            name = str(dict(note.fields)["gateway"])
+            if name in self.dead_at:
+                self.dead_at[name].setdefault(front.name, now)
+            if name in self.site.net.nodes and now - self.since.get(name, -1 << 62) > 60 * SECOND:
+                self.wrong.setdefault(name, set()).add(front.name)
+
+    # ---- time
+
+    def begin(self) -> None:
+        """Start all at once. Stopped where they do not fit."""
+        for n, name in enumerate(self.site.roster):
+            if n % 25 == 0:
+                self._limits(f"{n} of {self.gateways} gateways had begun, {resident_mb() / max(n, 1):.2f} MB each")
+            self.site.start(name)
+        gc.freeze()
+
+    def _limits(self, so_far: str) -> None:
+        if resident_mb() > self.memory:
+            raise Stopped(f"memory: {resident_mb():.0f} MB of {self.memory:.0f} taken; {so_far}")
+        if time.monotonic() - self.begun > self.wall:
+            raise Stopped(f"time: {self.wall:.0f} real seconds are over; {so_far}")
+
+    def step(self, seconds: float) -> None:
+        """Virtual time passes; what each second cost is kept while `recording`."""
+        net, end = self.site.net, self.site.net.now + round(seconds * SECOND)
+        while net.now < end:
+            self._limits(f"{net.now / SECOND:.2f} virtual seconds had passed, {len(net.nodes)} of {self.gateways} "
+                         f"gateways ran, {resident_mb():.0f} MB")
+            begun = time.monotonic()
+            second = (net.now // SECOND + 1) * SECOND
+            if net.now % SECOND == 0:
+                self._before = self._costs()
+            net.run(min(end, second, net.now + round(GOES_ON * SECOND)))
+            self.ran += time.monotonic() - begun
+            if net.now % SECOND == 0 and self.recording and hasattr(self, "_before"):
+                after = self._costs()
+                self.windows.append({name: ((after[name][0] - was[0]) / 1e6, float(after[name][1] - was[1]))
+                                     for name, was in self._before.items() if name in net.nodes})
+
+    def _costs(self) -> dict[str, tuple[int, int]]:
+        if not self.recording:
+            return {}
+        return {name: (one.spent, one.sent_bytes + one.got_bytes) for name, one in self.tallies.items()}
+
+    def align(self) -> None:
+        """Up to a whole second, so that windows begin with what follows."""
+        self.step(-self.site.net.now % SECOND / SECOND)
+
+    def until(self, done: Callable[[], bool], most: float, step: float = GOES_ON) -> float | None:
+        """Virtual seconds until so, None where it was not within `most`."""
+        begin = self.site.net.now
+        while not done():
+            if self.site.net.now - begin >= most * SECOND:
+                return None
+            self.step(step)
+        return round((self.site.net.now - begin) / SECOND, 3)
+
+    # ---- what is asked of the site
+
+    def kill(self, names: list[str]) -> None:
+        for name in names:
+            self.site.net.kill(name)
+            self.since[name] = self.site.net.now
+
+    def start(self, names: list[str]) -> None:
+        for name in names:
+            self.since[name] = self.site.net.now
+            self.site.start(name)
+
+    def newest(self) -> int:
+        return max(self.site.plans, default=0)
+
+    def follow(self, epoch: int) -> bool:
+        """Whether all that run took up that plan or a later one."""
+        return all((one.core.plan.epoch if one.core.plan is not None else 0) >= epoch for one in self.site.fronts())
+
+    def settled(self) -> bool:
+        return self.newest() > 0 and self.follow(self.newest()) and self.site.leader() is not None \
+            and min(self.site.strengths(list(self.site.net.nodes))) == 1.0
+
+    def relays(self) -> list[str]:
+        return [one.name for one in self.site.fronts() if relays(one.core)]
+
+    def plain(self) -> list[str]:
+        """Those that run and are neither voter nor relay."""
+        out = set(self.site.voters) | set(self.relays())
+        return [name for name in self.site.net.nodes if name not in out]
+
+    def weigh(self) -> None:
+        """Draw whose frames are weighed from now on."""
+        plain, between = self.plain(), self.relays()
+        self.weighed = {*self.site.voters, *self.random.sample(plain, min(WEIGHED, len(plain))),
+                        *self.random.sample(between, min(WEIGHED // 4, len(between)))}
+
+    def by_role(self, of: dict[str, float]) -> dict[str, float | None]:
+        leader, between = self.site.leader(), set(self.relays())
+        voters = set(self.site.voters)
+        plain = [v for name, v in of.items() if name not in voters and name not in between]
+        return {"median": cut(plain, 0.5), "p99": cut(plain, 0.99), "most": cut(plain, 1.0),
+                "leader": round(of[leader], 3) if leader in of else None,
+                "relay": cut([v for name, v in of.items() if name in between], 0.5),
+                "voter": cut([v for name, v in of.items() if name in voters and name != leader], 0.5)}
+
+    def worst(self, span: int) -> dict[str, float | None]:
+        """The most that any gateway but voters took in `span` seconds of the recorded ones, a second; the leader's."""
+        ms: dict[str, float] = {}
+        sent: dict[str, float] = {}
+        voters = set(self.site.voters)
+        for at in range(0, max(0, len(self.windows) - span + 1)):
+            part = self.windows[at:at + span]
+            for name in part[-1]:
+                ms[name] = max(ms.get(name, 0.0), sum(w[name][0] for w in part if name in w) / span)
+                if name in self.weighed:
+                    sent[name] = max(sent.get(name, 0.0), sum(w[name][1] for w in part if name in w) / span)
+        return {"ms_per_s": cut([v for name, v in ms.items() if name not in voters], 1.0),
+                "bytes_per_s": cut([v for name, v in sent.items() if name not in voters], 1.0),
+                "voter_ms_per_s": cut([v for name, v in ms.items() if name in voters], 1.0),
+                "voter_bytes_per_s": cut([v for name, v in sent.items() if name in voters], 1.0)}
+
+    def over(self) -> int:
+        """Longest row of seconds in which a gateway (no voter) took more than twice its budget."""
+        longest, row = 0, Counter[str]()
+        for window in self.windows:
+            for name, (ms, size) in window.items():
+                row[name] = row[name] + 1 if (ms > 2 * CPU or size > 2 * BYTES) and name not in self.site.voters else 0
+                longest = max(longest, row[name])
+        return longest
+
+    def counts(self, names: list[str]) -> dict[str, int]:
+        """The most entries of everything held by any of these."""
+        found: Counter[str] = Counter()
+        for name in names:
+            if name in self.site.net.nodes:
+                core = self.site.front(name).core
+                found |= census(core, settings(core.place))
+        return dict(sorted(found.items()))
+
+
+# ---- scenarios: each gives keys of the result; all in virtual seconds, if nothing else is said
+
+
+def calm(run: Run, seconds: float) -> dict[str, Any]:
+    """What ten seconds cost in which nothing happens, and what is held."""
+    run.weigh()
+    run.align()
+    before = {name: (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes) for name, t in run.tallies.items()}
+    run.step(10)
+    part = {name: tuple((a - b) / 10 for a, b in zip(
+        (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes), before[name], strict=True))
+        for name, t in run.tallies.items()}
+    leader = run.site.leader()
+    held: dict[str, float] = {}
+    sample = run.random.sample(run.plain(), min(HELD, len(run.plain()))) + run.relays()[:2] + list(run.site.voters)
+    for name in sample:
+        core = run.site.front(name).core
+        held[name] = held_bytes(core, settings(core.place)) / 1e6
+    roles = run.by_role(held)
+    plain = [name for name in sample if name not in run.site.voters]
+    return {
+        "cpu_ms_per_s": run.by_role({name: one[0] / 1e6 for name, one in part.items()}),
+        "messages_per_s": run.by_role({name: one[1] + one[2] for name, one in part.items()}),
+        "bytes_per_s": run.by_role({name: part[name][3] + part[name][4] for name in sorted(run.weighed)}),
+        "sent_bytes_per_s": run.by_role({name: part[name][3] for name in sorted(run.weighed)}),
+        "control_mb": max((held[name] for name in plain), default=None), "held_mb": roles,
+        "settings_mb": round(held_bytes(run.site.place(plain[0]), set()) / 1e6, 3),
+        "held": run.counts(plain), "held_leader": run.counts([leader]) if leader else {},
+        "resident_mb": round(resident_mb()), "resident_mb_each": round(resident_mb() / run.gateways, 3)}
+
+
+def dead(run: Run, seconds: float) -> dict[str, Any]:
+    """Three gateways die, of three zones."""
+    names = [next(iter(run.random.sample([n for n in run.plain() if run.site.roster[n] == z], 1))) for z in (0, 1, 4)]
+    holders = {name: [one.name for one in run.site.fronts() if name in one.core.members.members] for name in names}
+    run.dead_at = {name: {} for name in names}
+    begin = run.site.net.now
+    run.kill(names)
+    leader: dict[str, float] = {}
+
+    def known() -> bool:
+        now = run.site.net.now
+        for name in names:
+            led = run.site.leader()
+            if name not in leader and led is not None and knows_dead(run.site.front(led).core, name):
+                leader[name] = (now - begin) / SECOND
+        return len(leader) == len(names) and all(
+            who in run.dead_at[name] or who not in run.site.net.nodes for name in names for who in holders[name])
+    run.until(known, 60)
+    times = [(at - begin) / SECOND for name in names for at in run.dead_at[name].values()]
+    all_know = all(who in run.dead_at[name] or who not in run.site.net.nodes
+                   for name in names for who in holders[name])
+    run.dead_at = {}
+    run.start(names)
+    run.until(run.settled, 60)
+    return {"dead_known_s": round(max(times), 3) if all_know else None, "dead_known_p50_s": cut(times, 0.5),
+            "dead_known_council_s": round(max(leader.values()), 3) if len(leader) == len(names) else None,
+            "dead_holders": max(len(one) for one in holders.values())}
+
+
+def committed(run: Run, at_once: Callable[[], None]) -> tuple[list[float], bool]:
+    """A change of zone 1's room makes an entry: seconds until each took it up, and whether all did. `at_once` is done
+    when the entry has just been committed."""
+    before = run.newest()
+    run.site.rooms[1] = run.full[1] * (0.45 if run.site.rooms[1] == run.full[1] else 1.0)
+    if run.until(lambda: run.newest() > before, 40, 0.05) is None:
+        return [], False
+    epoch = run.newest()
+    begin = next(at for at, plan in run.site.committed if plan.epoch == epoch)
+    at_once()
+    all_took = run.until(lambda: run.follow(epoch), 60) is not None
+    first: dict[str, int] = {}
+    for number in sorted(run.took):
+        if number >= epoch:
+            for name, at in run.took[number].items():
+                first.setdefault(name, at)
+    run.step(3)
+    return [(at - begin) / SECOND for name, at in first.items() if name in run.site.net.nodes], all_took
+
+
+def change(run: Run, seconds: float) -> dict[str, Any]:
+    """Four committed entries, one after another: when each gateway that lives has taken them up."""
+    found = [committed(run, lambda: None) for _ in range(4)]
+    return {"change_in_force_s": in_force(found)}
+
+
+def in_force(found: list[tuple[list[float], bool]]) -> dict[str, Any]:
+    times = [one for row, _ in found for one in row]
+    return {"p50": cut(times, 0.5), "p99": cut(times, 0.99),
+            "last": cut(times, 1.0) if all(done for _, done in found) else None, "entries": len(found)}
+
+
+def killed(run: Run, seconds: float) -> dict[str, Any]:
+    """The same, and as it is committed a relay of every tenth cell dies; drawn gateways where there are no relays."""
+    gone: list[str] = []
+
+    def strike() -> None:
+        from_whom = [name for name in run.relays() if name not in run.site.voters] or run.plain()
+        each = 20 if run.relays() else 10 * CELL
+        gone.extend(run.random.sample(from_whom, max(1, len(from_whom) // each)))
+        run.kill(gone)
+    found = [committed(run, strike)]
+    killed_now = len(gone)
+    run.start(gone)
+    found.append(committed(run, lambda: None))
+    run.until(run.settled, 60)
+    return {"change_in_force_killed_s": in_force(found[:1]), "killed": killed_now}
+
+
+def quiet(run: Run, seconds: float) -> dict[str, Any]:
+    """Nothing dies, for --for seconds: whoever is held for dead is so wrongly."""
+    run.wrong = {}
+    run.step(seconds)
+    return {"false_deaths": len(run.wrong), "false_verdicts": sum(map(len, run.wrong.values())),
+            "false_deaths_in_s": seconds}
+
+
+def slow(run: Run, seconds: float) -> dict[str, Any]:
+    """The same, with every tenth gateway's process standing still for 0.3 to 0.9 s, every two seconds or so."""
+    run.wrong = {}
+    names = run.plain()[::10]
+    end, net = run.site.net.now + round(seconds * SECOND), run.site.net
+    for name in names:
+        at = net.now
+        while at < end:
+            at += run.random.randint(1000, 3000) * MS
+            net.at(at, partial(net.stop, name, run.random.randint(300, 900) * MS))
+    run.step(seconds)
+    fast = set(run.wrong) - set(names)
+    found = {"false_deaths_slow": len(run.wrong), "false_deaths_of_fast": len(fast), "slow": len(names),
+             "false_deaths_slow_in_s": seconds}
+    run.step(5)
+    return found
+
+
+def zone(run: Run, seconds: float) -> dict[str, Any]:
+    """A zone is lost with its hosts; the minute after it."""
+    site, lost = run.site, set(run.site.of(3))
+    run.weigh()
+    run.align()
+    run.windows, run.recording, begin = [], True, site.net.now
+    names = len(lost)
+    site.lose(3)
+    for name in lost:
+        run.since[name] = site.net.now
+    agreed = run.until(lambda: site.standing(3) is Standing.CLOSED, 60)
+    epoch = run.newest()
+    force = run.until(lambda: run.follow(epoch), 60) if agreed is not None else None
+    run.step(max(0.0, 60 - (site.net.now - begin) / SECOND))
+    run.recording = False
+    worst, minute = run.worst(10), run.worst(len(run.windows))
+    held = [member.life for one in site.fronts() for member in one.core.members.members.values()
+            if member.name in lost]
+    return {"zone_known_s": agreed, "zone_in_force_s": None if agreed is None or force is None else agreed + force,
+            "zone_gateways": names, "zone_worst_10s": worst, "zone_worst_minute": minute,
+            "zone_held_dead_after_60s": round(sum(life >= Life.DEAD for life in held) / max(1, len(held)), 4)}
+
+
+def storm(run: Run, seconds: float) -> dict[str, Any]:
+    """All of that zone is started at once."""
+    site, names = run.site, run.site.of(3)
+    if any(name in site.net.nodes for name in names):
+        site.lose(3)
+        run.step(40)
+    run.weigh()
+    run.weighed |= set(run.random.sample(names, min(WEIGHED, len(names))))
+    run.align()
+    run.windows, run.recording = [], True
+    site.rooms[3] = run.full[3]
+    run.start(names)
+    here = run.until(lambda: all(one.core.plan is not None for one in map(site.front, names))
+                     and min(site.strengths(names)) == 1.0, 60)
+    run.step(30)
+    run.align()
+    run.recording = False
+    worst = run.worst(1)
+    ms, size = worst["ms_per_s"], worst["bytes_per_s"]
+    found = {"storm_gateways": len(names), "storm_joined_s": here, "storm_worst_1s": worst,
+             "storm_budget_times": round(max((ms or 0) / CPU, (size or 0) / BYTES), 3),
+             "storm_over_twice_s": run.over()}
+    run.until(lambda: site.standing(3) is Standing.OPEN, 60)
+    return found
+
+
+def regions(run: Run, seconds: float) -> dict[str, Any]:
+    """Two regions are apart for 3 minutes while demand changes, and come back."""
+    site = run.site
+    ones, others = site.of(0, 1, 2), site.of(3, 4)
+    site.net.part(ones, others)
+    run.step(60)
+    site.demand[1] *= 1.5  # the majority would like what the minority may still hold
+    run.step(60)
+    site.demand[1] /= 1.5
+    run.step(60)
+    led = site.leader()
+    apart = site.strengths(others)
+    site.net.heal()
+    for name in site.roster:
+        run.since[name] = site.net.now
+    return {"rejoin_s": run.until(run.settled, 120), "apart_s": 180, "apart_led": led is not None,
+            "apart_minority_strength": max(apart, default=None)}
+
+
+def week(run: Run, seconds: float) -> dict[str, Any]:
+    """A week's failures, replacements and a rack, in five minutes; those that live through all are looked at."""
+    site = run.site
+    plain = run.plain()
+    stay = set(run.random.sample(plain, min(HELD, len(plain) // 4))) | set(site.voters)
+    some = [name for name in site.roster if name not in stay]
+    start = run.counts(sorted(stay))
+    gc.collect()
+    began = resident_mb()
+    span = 300 * SECOND
+    failures = max(1, round(WEEK["failures"] * run.gateways))
+    replaced = max(1, round(WEEK["replaced"] * run.gateways))
+
+    def strike(name: str, back: int) -> None:
+        if name in site.net.nodes:
+            run.kill([name])
+            site.net.at(site.net.now + back, lambda: run.start([name]) if name not in site.net.nodes else None)
+    for n in range(replaced + failures):
+        at = site.net.now + run.random.randrange(span)
+        back = (2 if n < replaced else 30) * SECOND
+        site.net.at(at, partial(strike, run.random.choice(some), back))
+    rack = [name for name in some if site.roster[name] == 2][:RACK]
+    for name in rack:
+        site.net.at(site.net.now + span // 2, partial(strike, name, 20 * SECOND))
+    for _ in range(30):
+        run.step(span / SECOND / 30)
+        gc.collect()
+    settled = run.until(run.settled, 90)
+    run.step(30)
+    end = run.counts(sorted(stay))
+    grown = {name: (start.get(name, 0), n) for name, n in end.items() if n > 1.1 * start.get(name, 0) + 8}
+    return {"week_failures": failures, "week_replaced": replaced, "week_rack": len(rack), "week_settled_s": settled,
+            "week_held_start": start, "week_held_end": end, "week_grown": grown,
+            "week_resident_mb": [round(began), round(resident_mb())]}
+
+
+SCENARIOS: dict[str, Callable[[Run, float], dict[str, Any]]] = {
+    "calm": calm, "dead": dead, "change": change, "killed": killed, "false": quiet, "slow": slow, "zone": zone,
+    "storm": storm, "regions": regions, "week": week}
+
+
+# ---- the command
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message: str) -> NoReturn:
+        print(f"scale: {message}", file=sys.stderr)
+        raise SystemExit(2)
+
+
+def arguments(argv: list[str]) -> argparse.Namespace:
+    parser = _Parser(prog="python -m benchmarks.scale", description="A fleet's control on a virtual clock.")
+    parser.add_argument("gateways", type=int)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--voters", type=int, default=9, help="an odd number, spread over the zones")
+    parser.add_argument("--for", type=float, default=600.0, dest="seconds", help="virtual s of false and slow")
+    parser.add_argument("--faults", nargs="+", default=[name for name in SCENARIOS if name != "week"],
+                        metavar="NAME", help="of: " + " ".join(SCENARIOS))
+    parser.add_argument("--json", type=Path, default=None, metavar="FILE", help="keep the last line there as well")
+    parser.add_argument("--wall", type=float, default=1e9, help="real s after which it stops")
+    parser.add_argument("--memory", type=float, default=free_mb() / 2, help="MB after which it stops")
+    found = parser.parse_args(argv)
+    if found.voters < 1 or found.voters % 2 == 0:
+        parser.error(f"--voters: {found.voters} is no odd number of 1 or more")
+    if found.gateways < max(found.voters, 2 * ZONES):
+        parser.error(f"gateways: {found.gateways} is under {max(found.voters, 2 * ZONES)}: the voters, two a zone")
+    for name in found.faults:
+        if name not in SCENARIOS:
+            parser.error(f"--faults: {name!r} is none of {' '.join(SCENARIOS)}")
+    for name in ("seconds", "wall", "memory"):
+        if not getattr(found, name) > 0:
+            parser.error(f"--{'for' if name == 'seconds' else name}: {getattr(found, name)} is not above 0")
+    if found.json is not None and not found.json.parent.is_dir():
+        parser.error(f"--json: {str(found.json.parent)!r} is no folder")
+    return found
+
+
+def commit() -> str:
+    try:
+        found = subprocess.run(["git", "describe", "--always", "--dirty"], cwd=Path(__file__).parent, text=True,
+                               capture_output=True, check=True)
+    except (OSError, subprocess.CalledProcessError):
+        return ""
+    return found.stdout.strip()
+
+
+def play(gateways: int, seed: int, voters: int, seconds: float, names: list[str], wall: float = 1e9,
+         memory: float = 1e9, say: Callable[[str], None] = print) -> dict[str, Any]:
+    """Play scenarios one after another on one site. The result's keys are null where they were not measured."""
+    result: dict[str, Any] = dict.fromkeys((
+        "cpu_ms_per_s", "bytes_per_s", "control_mb", "dead_known_s", "zone_known_s", "false_deaths",
+        "change_in_force_s", "rejoin_s"))
+    result |= {"gateways": gateways, "real": 0, "hollow": gateways, "clock": "virtual", "mechanism": mechanism(),
+               "seed": seed, "voters": voters, "loss": LINKS.loss, "delay_ms": [d // MS for d in LINKS.delay],
+               "rules": "held", "histories": 1, "stopped": None, "played": []}
+    gc.collect()
+    gc.disable()
+    run = Run(gateways, seed, voters, wall, memory)
+    try:
+        run.begin()
+        result["settled_s"] = run.until(run.settled, 90)
+        say(f"{gateways} gateways, seed {seed}: all follow one plan after {result['settled_s']} s; "
+            f"{resident_mb():.0f} MB")
+        run.step(12)
+        for name in names:
+            real, now = time.monotonic(), run.site.net.now
+            found = SCENARIOS[name](run, seconds)
+            result |= found
+            result["played"].append(name)
+            shown = {key: value for key, value in found.items() if "held" not in key or key == "held_mb"}
+            say(f"{name} ({(run.site.net.now - now) / SECOND:.0f} s in {time.monotonic() - real:.0f} real s): "
+                f"{json.dumps(shown)}")
+            gc.collect()
+    except Stopped as stop:
+        result["stopped"] = str(stop)
+        say(f"stopped: {stop}")
+    except Broken as broken:
+        result["rules"] = str(broken)
+        result["histories"] = 2 if "two plans" in str(broken) else 1
+        say(f"broken: {broken}")
+    finally:
+        gc.enable()
+        gc.unfreeze()
+    net = run.site.net
+    result |= {"links_most": max(len(one.peers) for one in run.tallies.values()),
+               "messages": net.sent, "epochs": len(run.site.plans), "virtual_s": round(net.now / SECOND, 2),
+               "real_s": round(time.monotonic() - run.begun, 1),
+               "virtual_s_per_real_s": round(net.now / SECOND / run.ran, 4) if run.ran else None}
+    return result
+
+
+def main(argv: list[str] | None = None) -> int:
+    asked = arguments(sys.argv[1:] if argv is None else argv)
+    result = play(asked.gateways, asked.seed, asked.voters, asked.seconds, asked.faults, asked.wall, asked.memory)
+    result |= {"commit": commit(), "cores": os.cpu_count(), "load": round(os.getloadavg()[0], 1),
+               "python": sys.version.split()[0]}
+    line = json.dumps(result)
+    if asked.json is not None:
+        asked.json.write_text(line + "\n")
+    print(line)
+    return 0 if result["stopped"] is None and result["rules"] == "held" else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
