Tests of the simulated site at 200 gateways: planted overruns, counts that come again

What the checks are for is planted and found: caps over what was free, by the event that makes it and by age; two plans of an epoch. Sums equal a walk over all while gateways come and go. 200 gateways send and hold the same twice by one seed. Bad input: one line, exit 2, nothing started.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -107,29 +107,37 @@
     return size
 
 
-def settings(place: CommonPlace) -> set[int]:
-    """Ids of what a gateway has from its settings and shares with all here: names, zones, terms."""
+def settings(site: Site, name: str) -> set[int]:
+    """Ids of what a gateway has from its settings: its place, all names, zones, terms."""
+    place = site.place(name)
     found = {id(place)} | {id(getattr(place, field.name)) for field in fields(place)}
-    return found | {id(name) for name in place.roster} | {id(name) for name in place.voters}
+    return found | {id(place) for place in (site.roster, site.terms)} | {id(one) for one in site.roster}
 
 
 # ---- what the mechanism tells of itself
 
 
-def relays(core: Common) -> bool:
+def relays(front: Front) -> bool:
     """Whether a gateway stands between others and the council. Nobody does in a flat site."""
-    return bool(getattr(core, "relaying", False))
+    duty: Any = getattr(front.core, "duty", None)
+    return duty is not None and front.name in duty.delegates(front.site.time(front.name))
 
 
 def knows_dead(core: Common, name: str) -> bool:
-    """Whether a gateway holds another for dead, by its own membership or by what was reported to it."""
-    told: Callable[[str], bool] | None = getattr(core, "knows_dead", None)
-    if told is not None:
-        return told(name)
+    """Whether a gateway holds another for dead by its own membership."""
     member = core.members.members.get(name)
     return member is not None and member.life >= Life.DEAD
 
 
+def told_dead(site: Site, message: Any) -> Iterator[str]:
+    """Names that a message's reports of cells, if it has any, say are dead: bits over the sorted names of a cell."""
+    reports = [one for one, _ in message.reports] if hasattr(message, "reports") else [message]
+    for one in reports:
+        if hasattr(one, "digest") and hasattr(one, "dead") and one.dead:
+            cells: Any = getattr(site, "cells")  # noqa: B009 - a site without cells has no such reports
+            yield from (name for n, name in enumerate(cells.zones[one.zone][one.cell].names) if one.dead >> n & 1)
+
+
 def mechanism() -> str:
     return "cells" if any(field.name == "cells" for field in fields(CommonPlace)) else "flat"
 
@@ -174,6 +182,7 @@
         self.windows: list[dict[str, tuple[float, float]]] = []  # of a second each: ms, bytes (weighed ones)
         self.recording = False
         self.dead_at: dict[str, dict[str, int]] = {}  # of watched ones: who held it for dead, when
+        self.told: dict[tuple[str, str], int] = {}  # (voter, watched one): when reports of cells said that it is dead
         self.wrong: dict[str, set[str]] = {}  # gateways that run and were held for dead: by whom
         self.since: dict[str, int] = {}  # when a gateway last began, or was last killed or cut off
         self.took: dict[int, dict[str, int]] = {}  # by epoch: when who took it up
@@ -196,6 +205,9 @@
         tally.got += 1
         if to in self.weighed:
             tally.got_bytes += len(MESSAGES.frame(message))
+        if self.dead_at and to in self.site.voters:
+            for name in told_dead(self.site, message):
+                self.told.setdefault((to, name), self.site.net.now)
 
     def _noted(self, front: Front, note: Note) -> None:
         now = self.site.net.now
@@ -287,7 +299,7 @@
             and min(self.site.strengths(list(self.site.net.nodes))) == 1.0
 
     def relays(self) -> list[str]:
-        return [one.name for one in self.site.fronts() if relays(one.core)]
+        return [one.name for one in self.site.fronts() if relays(one)]
 
     def plain(self) -> list[str]:
         """Those that run and are neither voter nor relay."""
@@ -339,8 +351,7 @@
         found: Counter[str] = Counter()
         for name in names:
             if name in self.site.net.nodes:
-                core = self.site.front(name).core
-                found |= census(core, settings(core.place))
+                found |= census(self.site.front(name).core, settings(self.site, name))
         return dict(sorted(found.items()))
 
 
@@ -360,8 +371,7 @@
     held: dict[str, float] = {}
     sample = run.random.sample(run.plain(), min(HELD, len(run.plain()))) + run.relays()[:2] + list(run.site.voters)
     for name in sample:
-        core = run.site.front(name).core
-        held[name] = held_bytes(core, settings(core.place)) / 1e6
+        held[name] = round(held_bytes(run.site.front(name).core, settings(run.site, name)) / 1e6, 4)
     roles = run.by_role(held)
     plain = [name for name in sample if name not in run.site.voters]
     return {
@@ -379,7 +389,7 @@
     """Three gateways die, of three zones."""
     names = [next(iter(run.random.sample([n for n in run.plain() if run.site.roster[n] == z], 1))) for z in (0, 1, 4)]
     holders = {name: [one.name for one in run.site.fronts() if name in one.core.members.members] for name in names}
-    run.dead_at = {name: {} for name in names}
+    run.dead_at, run.told = {name: {} for name in names}, {}
     begin = run.site.net.now
     run.kill(names)
     leader: dict[str, float] = {}
@@ -388,7 +398,8 @@
         now = run.site.net.now
         for name in names:
             led = run.site.leader()
-            if name not in leader and led is not None and knows_dead(run.site.front(led).core, name):
+            if name not in leader and led is not None and (
+                    (led, name) in run.told or knows_dead(run.site.front(led).core, name)):
                 leader[name] = (now - begin) / SECOND
         return len(leader) == len(names) and all(
             who in run.dead_at[name] or who not in run.site.net.nodes for name in names for who in holders[name])
--- /dev/null
+++ b/tests/common/test_scale.py
@@ -0,0 +1,177 @@
+"""The simulated site at some size: its checks find what they are for, its counts come again, and bad input is told."""
+
+import json
+import random
+
+import pytest
+
+from benchmarks import scale
+from copperyard.interface import Ways
+from copperyard.lab.sites.events import Manner
+from copperyard.lab.sites.simulated import CHECK, MS, SECOND, Broken, Site, spread
+
+
+def walked(site, zone):
+    """What the check summed before it was kept: a walk over all that run."""
+    return sum(front.ways.caps[zone] or 0.0 for front in site.fronts()
+               if front.zone != zone and front.ways is not None)
+
+
+def test_sums_of_caps_are_those_of_a_walk_over_all_whatever_comes_and_goes():
+    rng = random.Random(3)
+    site = Site(3, 5, 4, manner=Manner(0.05, 0.02, (MS, 60 * MS)))
+    site.run(12)
+    most = 0.0
+    for n in range(60):
+        site.run(rng.uniform(0.2, 2))
+        name = rng.choice(list(site.roster))
+        if n % 3 == 0:
+            site.net.kill(name)
+        elif n % 3 == 1:
+            site.start(name)  # also in place of one that runs
+        else:
+            site.demand[rng.randrange(5)] = rng.choice((1_000.0, 8_000.0, 12_000.0))
+        for zone in range(5):
+            assert abs(site.allowed(zone) - walked(site, zone)) < 1e-3
+            most = max(most, site.allowed(zone))
+    assert most > 1000
+
+
+@pytest.mark.parametrize("gateways", [10, 200])
+def test_a_planted_overrun_is_found_by_the_event_that_makes_it(gateways):
+    site = Site(1, 5, gateways // 5, room=10_000.0 * gateways, asked=5_000.0 * gateways)
+    site.run(12)
+    front = site.front("g1-1")
+    site.check(site.net.now)
+    caps = list(front.ways.caps)
+    free = max(zone.room * zone.part - zone.own - zone.reserve for _, plan in site.committed
+               for zone in [plan.zones[3]])
+    caps[3] = free - site.allowed(3) + caps[3] + 2.0  # 2 kB/s more than all may, by one of them
+    site.net.at(site.net.now + 1, lambda: site.allow(front, Ways(front.ways.shares, tuple(caps))))
+    with pytest.raises(Broken, match="of zone 3 allowed"):
+        site.net.run(site.net.now + 1)
+
+
+def test_what_was_free_ages_and_an_overrun_by_that_is_found_as_well():
+    """No front does anything: the plan that had room for what they hold is too old."""
+    site = Site()
+    site.run(12)
+    plan = site.committed[-1][1]
+    assert site.allowed(3) > 1
+    none = [zone.__class__(zone.standing, 0.0, 0.0, 0.0, zone.part, zone.shares, zone.caps, zone.owed)
+            for zone in plan.zones]
+    site.planned(plan.__class__(plan.epoch + 1, plan.holds, tuple(none)))
+    site.check(site.net.now + CHECK)
+    with pytest.raises(Broken):
+        site.check(site.net.now + 2 * site.terms.holds * 12 // 10 + CHECK)
+
+
+def test_two_plans_of_an_epoch_are_found():
+    site = Site()
+    site.run(12)
+    plan = site.committed[-1][1]
+    site.planned(plan)
+    with pytest.raises(Broken, match=f"two plans of epoch {plan.epoch}"):
+        site.planned(plan.__class__(plan.epoch, plan.holds + 1, plan.zones))
+
+
+@pytest.mark.parametrize("voters", [3, 5, 9])
+def test_a_council_is_spread_over_all_zones(voters):
+    names = spread(voters, 5)
+    assert len(set(names)) == voters
+    each = [sum(name.startswith(f"g{z}-") for name in names) for z in range(5)]
+    assert max(each) - min(each) <= 1
+
+
+def two_hundred(seed):
+    """200 gateways from their start: what was sent and is held."""
+    run = scale.Run(200, seed, 9)
+    run.begin()
+    run.step(10)
+    assert run.settled()
+    run.weigh()
+    sent, sizes = run.site.net.sent, {name: one.sent_bytes for name, one in run.tallies.items()}
+    run.step(3)
+    leader = run.site.leader()
+    assert leader is not None
+    return run, {"sent": run.site.net.sent, "lost": run.site.net.lost, "epochs": len(run.site.plans),
+                 "rate": (run.site.net.sent - sent) / 3 / 200,
+                 "bytes": sorted((one.sent_bytes - sizes[name]) / 3 for name, one in run.tallies.items()),
+                 "links": sorted(len(one.peers) for one in run.tallies.values()),
+                 "held": run.counts(run.plain()[:4]), "held_leader": run.counts([leader])}
+
+
+def test_two_hundred_gateways_send_and_hold_what_is_stated_and_the_same_again_by_the_same_seed():
+    run, found = two_hundred(5)
+    assert found["rate"] < 9 and found["epochs"] <= 3
+    assert run.wrong == {}
+    assert 0 < max(found["bytes"]) < 18_000
+    assert found["held"]["members.members"] <= 199 and found["held"]["members.sight.rows"] <= 200
+    assert two_hundred(5)[1] == found
+
+
+def test_a_census_finds_what_grows_and_passes_over_what_is_settings():
+    site = Site(1, 5, 4)
+    site.run(3)
+    core = site.front("g1-1").core
+    shared = scale.settings(site, "g1-1")
+    before, size = scale.census(core, shared), scale.held_bytes(core, shared)
+    core.histories = [*core.histories, *[(n, n) for n in range(1000)]]
+    core.members.members["g1-2"].accusers |= {f"x{n}" for n in range(100)}
+    after = scale.census(core, shared)
+    assert after["histories"] - before["histories"] == 1000
+    assert after["members.members[].accusers"] - before["members.members[].accusers"] == 100
+    assert scale.held_bytes(core, shared) - size > 1000 * 60
+    assert not any("terms" in name or name.startswith("place") for name in after)
+    assert size < scale.held_bytes(core, set())
+
+
+def test_one_line_says_all_that_the_letter_asks_for(capsys, tmp_path):
+    assert scale.main(["15", "--voters", "5", "--faults", "calm", "dead", "change", "killed", "zone", "storm",
+                       "--json", str(tmp_path / "one.json")]) == 0
+    found = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert found == json.loads((tmp_path / "one.json").read_text())
+    for key in ("cpu_ms_per_s", "bytes_per_s", "control_mb", "dead_known_s", "zone_known_s", "change_in_force_s",
+                "links_most"):
+        assert found[key] is not None
+    assert (found["gateways"], found["real"], found["hollow"], found["histories"]) == (15, 0, 15, 1)
+    assert found["rules"] == "held" and found["false_deaths"] is None and found["rejoin_s"] is None
+    assert found["dead_known_s"] < 14 and found["zone_in_force_s"] < 20 and found["change_in_force_s"]["last"] < 18
+
+
+def test_what_does_not_fit_ends_in_words_and_exit_1(capsys):
+    assert scale.main(["200", "--memory", "1", "--faults", "calm"]) == 1
+    found = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert found["stopped"].startswith("memory: ") and "0 of 200 gateways had begun" in found["stopped"]
+    assert found["cpu_ms_per_s"] is None and found["played"] == []
+
+
+@pytest.mark.parametrize("given, told", [
+    (["7", "--voters", "9"], "gateways: 7 is under 10"),
+    (["20", "--voters", "21"], "gateways: 20 is under 21"),
+    (["many"], "gateways: invalid int value: 'many'"),
+    (["50", "--voters", "4"], "--voters: 4 is no odd number"),
+    (["50", "--faults", "calm", "flood"], "--faults: 'flood' is none of calm"),
+    (["50", "--for", "0"], "--for: 0.0 is not above 0"),
+    (["50", "--for", "nan"], "--for: nan is not above 0"),
+    (["50", "--json", "/nowhere/x.json"], "--json: '/nowhere' is no folder"),
+])
+def test_bad_input_is_told_in_one_line_and_nothing_starts(given, told, capsys, monkeypatch):
+    monkeypatch.setattr(scale, "Run", None)
+    with pytest.raises(SystemExit) as end:
+        scale.main(given)
+    out = capsys.readouterr()
+    assert end.value.code == 2 and out.out == ""
+    assert out.err.count("\n") == 1 and told in out.err
+
+
+def test_a_wall_cuts_one_way_or_both_and_is_gone_when_healed():
+    site = Site(1, 5, 2)
+    one, other = site.of(0), site.of(1)
+    site.net.part(one, other, both=False)
+    assert site.net.cut("g0-0", "g1-1") and not site.net.cut("g1-1", "g0-0") and not site.net.cut("g0-0", "g2-0")
+    site.net.part(other, one, both=False)
+    assert site.net.cut("g1-1", "g0-0")
+    site.net.heal()
+    assert not site.net.cut("g0-0", "g1-1")
+    assert site.net.now < SECOND
