--- a/copperyard/lab/sites/simulated.py
+++ b/copperyard/lab/sites/simulated.py
@@ -38,7 +38,8 @@
 @dataclass(slots=True)
 class Tally:
     """What one gateway's part cost, through all its lives here: ns of this thread's processor time (`thread_time_ns`;
-    about 0.2 us a call are the measuring's own), messages, their bytes where it is weighed, and whom it sent to."""
+    about 0.2 us a call are the measuring's own), messages, their bytes where it is weighed, whom it sent to, who sent
+    to it."""
 
     spent: int = 0
     sent: int = 0
@@ -46,6 +47,7 @@
     sent_bytes: int = 0
     got_bytes: int = 0
     peers: set[str] = field(default_factory=set)
+    callers: set[str] = field(default_factory=set)
 
 
 class Front:
