--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -388,7 +388,10 @@
 
 def dead(run: Run, seconds: float) -> dict[str, Any]:
     """Three gateways die, of three zones."""
-    names = [next(iter(run.random.sample([n for n in run.plain() if run.site.roster[n] == z], 1))) for z in (0, 1, 4)]
+    names = []
+    for zone in (0, 1, 4):
+        here = [name for name in run.site.of(zone) if name not in run.site.voters]
+        names.append(run.random.choice([name for name in here if name in set(run.plain())] or here))
     holders = {name: [one.name for one in run.site.fronts() if name in one.core.members.members] for name in names}
     run.dead_at, run.told = {name: {} for name in names}, {}
     begin = run.site.net.now
@@ -405,13 +408,17 @@
         return len(leader) == len(names) and all(
             who in run.dead_at[name] or who not in run.site.net.nodes for name in names for who in holders[name])
     run.until(known, 60)
-    times = [(at - begin) / SECOND for name in names for at in run.dead_at[name].values()]
+    times = [(at - begin) / SECOND for name in names for who, at in run.dead_at[name].items()
+             if run.site.roster[who] == run.site.roster[name]]
+    far = [(at - begin) / SECOND for name in names for who, at in run.dead_at[name].items()
+           if run.site.roster[who] != run.site.roster[name]]
     all_know = all(who in run.dead_at[name] or who not in run.site.net.nodes
                    for name in names for who in holders[name])
     run.dead_at = {}
     run.start(names)
     run.until(run.settled, 60)
     return {"dead_known_s": round(max(times), 3) if all_know else None, "dead_known_p50_s": cut(times, 0.5),
+            "dead_known_elsewhere_s": round(max(far), 3) if far else None,
             "dead_known_council_s": round(max(leader.values()), 3) if len(leader) == len(names) else None,
             "dead_holders": max(len(one) for one in holders.values())}
 
--- a/copperyard/control/cells.py
+++ b/copperyard/control/cells.py
@@ -1,10 +1,10 @@
 """A gateway's part in its cell: whom it reports to, and what it does where it is one of the cell's delegates.
 
 Each member tells its delegates what it sees, once a second; a delegate sends what they all said, in one report, to one
-of the voters, its collector, and hears that it came. Who is a delegate each works out from whom it holds for alive: two,
-or three for a while, do no harm, since a report says by whom it is and the newer replaces the older. A delegate whose
-reports reach no collector says so to its cell and is none for a while: SWIM sees dead gateways, not links that a cell
-does not use. No I/O.
+of the voters, its collector, and hears that it came. Who is a delegate each works out from whom it holds for alive:
+two, or three for a while, do no harm, since a report says by whom it is and the newer replaces the older. A delegate
+whose reports reach no collector says so to its cell and is none for a while: SWIM sees dead gateways, not links that a
+cell does not use. No I/O.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 CUT = 6 * SECOND  # ns without a word of any, after which a delegate resigns: at least two were tried by then
 RESIGNED = 20 * SECOND  # ns for which it is none
 BACK = 60 * SECOND  # ns after which a delegate that changed its collector tries its first one again
+MISSED = 3 * SECOND // 2  # ns without a member's report: there is one in 1.25 s at least, so one was lost, or more
 SEEN = 3 * SECOND  # ns for which what a member said of its questions counts
 
 Rows = tuple[tuple[int, int, int, int], ...]
@@ -31,8 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """A member to its delegates. `asked`: by zone, of the gateways that it asked in the last periods: how many, how
-    many answered, how many late, how many spoke by themselves."""
+    """A member to its delegates. `asked`: what it sees of each zone, as in a Row, but of the last periods only."""
 
     summary: Summary
     asked: Rows
@@ -119,6 +119,14 @@
         if sender in self.cell.names and 0 < message.ns <= 2 * RESIGNED:
             self._resigned[sender] = now + message.ns
 
+    def missed(self, now: int) -> list[str]:
+        """Members that reported to this delegate, and then not for MISSED: to be asked whether they live. (With only
+        questions by turns, all of a cell ask each once in a second or two, but whoever asks first is alone with its
+        suspicion for long; two delegates that ask at about the same time share it.)"""
+        if not self.serves(now):
+            return []
+        return [name for name, (at, _) in self._seen.items() if MISSED < now - at <= TOLD + MISSED]
+
     # ---- reporting
 
     def report(self, now: int, lives: Mapping[str, int]) -> tuple[str, CellReport] | None:
--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -267,6 +267,8 @@
             self._look(now)
         if now >= self.duty.report_at:
             self._report_cell(now)
+        for name in self.duty.missed(now):
+            self.members.doubt(name)
         if self.council is not None and now >= self.gather_at:
             self.gather_at = now + GATHER
             self._gather_cells(now)
@@ -376,8 +378,8 @@
 
     def view(self, now: int) -> View:
         """What is known of the zones, for a plan. A zone is lost when its cells are silent to the council and to
-        others: by this gateway's own contacts there, or by the questions of all other zones' cells. One bad delegate, voter
-        or link leaves other ways to be heard by. Nor is it while this process may only not have listened."""
+        others: by this gateway's own contacts there, or by the questions of all other zones' cells. One bad delegate,
+        voter or link leaves other ways to be heard by. Nor is it while this process may only not have listened."""
         standings = self.members.sight.standings(now)
         quiet = QUIET * max(REPORT, self.place.pace.period)
         unreached = self.facts.unreached(now)
--- a/copperyard/membership/gateways/cells.py
+++ b/copperyard/membership/gateways/cells.py
@@ -1,10 +1,10 @@
 """Cells: which gateways of a zone know each other by name, worked out by all alike from the settings.
 
 A gateway that knows all others by name pays for each of them: in memory, in rumours, in reports to whoever leads. So
-each zone's gateways fall into cells of some tens, by rendezvous hashing (Thaler, Ravishankar 1998) with bounded loads: one
-that joins or goes moves few others. SWIM runs within a cell; towards each other zone a cell knows a few contacts, all
-of one cell there. A site small enough for one cell a zone, with no more gateways in it than contacts, is one in which
-everybody knows everybody.
+each zone's gateways fall into cells of some tens, by rendezvous hashing (Thaler, Ravishankar 1998) with bounded loads:
+one that joins or goes moves few others. SWIM runs within a cell; towards each other zone a cell knows a few contacts,
+all of one cell there. A site small enough for one cell a zone, with no more gateways in it than contacts, is one in
+which everybody knows everybody.
 
 No I/O, no clock, no chance: who has the same roster has the same cells.
 """
--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -32,7 +32,7 @@
 TOLD = 4.0  # a rumour goes out so many times, times the logarithm of the fleet
 ROWS = 3  # rows on one message, the own one among them
 URGENT = 4  # asked in a period besides the one whose turn it is, where a zone may be lost
-LOOKERS = 6  # of all gateways, who look for themselves when they hear of a suspicion
+LOOKERS = 6  # of those that know a gateway, who look for themselves when they hear of a suspicion
 RETRY = 10  # of so many periods one asks somebody who is dead
 MOST_COUNT = 1 << 60  # an incarnation that no life can have: one more would fit into no frame
 STOOD = 500_000_000  # ns by which this process may be late before it says that it stood still
@@ -122,6 +122,8 @@
         self.incarnation = incarnation
         self.members = {name: Member(name, zone, since=now) for name, zone in roster.items() if name != me}
         self.sight = Sight(me, dict(roster), zones)
+        # who knows whom: all of a cell each other, of other zones' gateways some; so many at least know any of these
+        self._knowers = max(sum(zone == self.zone for zone in roster.values()), len(self.members) // 2)
         self.awareness = 0
         self.leaving = False
         self.stood = now - 3600 * SECOND  # when this process last stood still
@@ -161,6 +163,12 @@
                  *(e.nothing_at for e in self._errands.values() if e.nothing_at)]
         return min(times)
 
+    def doubt(self, name: str) -> None:
+        """There is some other reason to doubt that a gateway lives: it is asked soon."""
+        member = self.members.get(name)
+        if member is not None and member.life is not Life.DEAD and name not in self._urgent:
+            self._urgent.append(name)
+
     def leave(self, now: int) -> None:
         """A planned end: tell some at once; they tell the others."""
         self.leaving = True
@@ -363,9 +371,8 @@
         if newer or rumour.life > member.life:
             self._hold(now, member, rumour.life, rumour.incarnation, rumour.by)
             # a few of all look for themselves: a suspicion that some share ends sooner, one that is wrong as well
-            if rumour.life is Life.SUSPECT and self.random.random() * len(self.members) < LOOKERS \
-                    and member.name not in self._urgent:
-                self._urgent.append(member.name)
+            if rumour.life is Life.SUSPECT and self.random.random() * self._knowers < LOOKERS:
+                self.doubt(member.name)
         elif rumour.life is Life.SUSPECT and member.life is Life.SUSPECT:
             self._share(member, rumour.by)
 
@@ -403,7 +410,10 @@
         if name == self.me:
             return Rumour(self.me, Life.LEFT if self.leaving else Life.ALIVE, self.incarnation, self.me)
         member = self.members[name]
-        by = self.me if self.me in member.accusers else min(member.accusers, default=self.me)
+        # (always the same one of several: who heard of two accusers told everybody of one, and a suspicion that four
+        # shared went on to last as if one did)
+        by = self.me if self.me in member.accusers or not member.accusers else self.random.choice(
+            sorted(member.accusers))
         return Rumour(name, member.life, member.incarnation, by)
 
     def _carry(self, to: str) -> tuple[Rumour, ...]:
--- a/copperyard/membership/gateways/sight.py
+++ b/copperyard/membership/gateways/sight.py
@@ -80,8 +80,8 @@
         self._spoke[zone] = now
 
     def lately(self, now: int, since: int, period: int) -> list[tuple[int, int, int, int]]:
-        """By zone, of the gateways that were asked since then: how many, how many of them answered, how many answered
-        late, and how many spoke by themselves. A question of the last `period` that may still be answered is none."""
+        """By zone, as in a Row: how many gateways were asked since then, how many of them answered, how many spoke by
+        themselves, how many answered late. A question of the last `period` that may still be answered is none."""
         cells = [[0, 0, 0, 0] for _ in range(self.zones)]
         for name, seen in self._seen.items():
             row = cells[self.zone_of[name]]
@@ -89,11 +89,11 @@
                 row[0] += 1
                 if seen.reached >= seen.asked:
                     row[1] += 1
-                    row[2] += seen.late
+                    row[3] += seen.late
             if seen.heard >= max(0, since):
-                row[3] += 1
+                row[2] += 1
         for zone, at in enumerate(self._spoke):
-            cells[zone][3] += at >= max(0, since)
+            cells[zone][2] += at >= max(0, since)
         return [(a, b, c, d) for a, b, c, d in cells]
 
     def forget(self, now: int) -> None:
@@ -106,9 +106,8 @@
         """A period has begun: the own row is made anew."""
         self.span, self._fresh = WINDOW * period, FRESH * period
         self._number += 1
-        found = self.lately(now, now - self.span, period)
-        self.rows[self.me] = (now, Row(self.me, incarnation, self._number, tuple(
-            (asked, reached, heard, late) for asked, reached, late, heard in found)))
+        self.rows[self.me] = (now, Row(self.me, incarnation, self._number,
+                                       tuple(self.lately(now, now - self.span, period))))
 
     # ---- the others' rows
 
--- a/tests/protocol/peers/test_frames.py
+++ b/tests/protocol/peers/test_frames.py
@@ -8,18 +8,31 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from copperyard.control.cells import Heard, MemberReport, Resign
 from copperyard.control.common import ENTRIES, MESSAGES
-from copperyard.control.zones.plan import HostsOf, Plan, Standing, Summary, ZonePlan
+from copperyard.control.zones.plan import (
+    CellReport,
+    Gathered,
+    HostsOf,
+    Plan,
+    Standing,
+    Summary,
+    Zonal,
+    ZonePlan,
+)
 from copperyard.membership.gateways.messages import Life, Ping, Row, Rumour
 from copperyard.protocol.peers import MOST_FRAME, BadFrame, Codec, Hello, Reader, hello, read_hello
 from copperyard.state.agreement.messages import Append, Entry, Kind, Newer, News, Since, Snapshot
 
+CELL = CellReport(1, 2, 77, "gw-1", 3, 4, 5, 2, 6, 1, 2, 0, (1.5, 0.0),
+                  (Zonal(((1.0, 2), (2.5, 1)), 4, 1, 9, 8, 0, 7),))
 SAMPLES = [
     Ping(1, 2, (Rumour("gw-1", Life.SUSPECT, 3, "gw-2"),), (Row("gw-1", 1, 2, ((1, 1, 0, 0),)),)),
     Append(3, 2, 1, (Entry(3, Kind.DATA, b"x"), Entry(3, Kind.BEGIN, b"")), 1, 9),
     News(Snapshot(4, 1, ("a", "b"), b"data"), 4, (), 4, "a", 4, 5), News(None, 0, (), 0, "", 0, 0),
     Since(3, 1 << 31), News(None, 3, (), 3, "a", 2, 1, 1 << 31), Newer(7),
-    Summary("gw-1", 1, 2, 3, (1.5, 0.0), (HostsOf(1.0, 0.5, 2, 1, 0, 0),)),
+    MemberReport(Summary("gw-1", 1, 2, 3, (1.5, 0.0), (HostsOf(1.0, 0.5, 2, 1, 0, 0),)), ((3, 2, 1, 0),)),
+    CELL, Gathered(((CELL, 8), (CELL, 9))), Heard(4), Resign(20),
 ]
 
 
@@ -41,7 +54,8 @@
     ([99, 1], "kind 99"), ([], "no list with a kind"), (["a"], "no list with a kind"), ({}, "no list"),
     ([2, 1], "Ack is no list of 4"), ([4, "x"], "Nothing.number is no whole number"), ([4, 1 << 63], "whole number"),
     ([4, True], "whole number"), ([17, 1.5, 0], "Since.index"), ([2, 1, "a" * 300, [], []], "no text of at most 256"),
-    ([3, 1, "t", [["n", 9, 1, "b"]]], "Rumour.life"), ([30, "a", 1, 1, 1, [float("nan")], []], "no finite number"),
+    ([3, 1, "t", [["n", 9, 1, "b"]]], "Rumour.life"),
+    ([31, ["a", 1, 1, 1, [float("nan")], []], []], "no finite number"), ([30, "a", 1, 1, 1, [1.0], []], "kind 30"),
     ([12, 1, 1, 1, [[1, 1, "text"]], 1, 1], "Entry.data is no bytes"), ([18, 5, 0, [], 0, "", 0, 0, 0], "Snapshot")])
 def test_a_body_that_is_none_of_ours_is_refused_with_its_place(body, word):
     with pytest.raises(BadFrame, match=word):
@@ -58,7 +72,7 @@
 
 @given(st.recursive(st.none() | st.booleans() | st.integers(-(1 << 63), 1 << 63) | st.floats() | st.text(max_size=9)
                     | st.binary(max_size=9), lambda inner: st.lists(inner, max_size=8), max_leaves=20),
-       st.sampled_from([1, 2, 10, 12, 14, 16, 18, 30]))
+       st.sampled_from([1, 2, 10, 12, 14, 16, 18, 19, 31, 32, 33, 34, 35]))
 def test_any_shape_gives_a_message_that_packs_again_or_bad_frame(parts, kind):
     body = msgpack.packb([kind, *(parts if isinstance(parts, list) else [parts])])
     try:
@@ -83,8 +97,9 @@
     one = Hello(b"fleet", "gw-1", "gw-2", 7, 8)
     body = next(Reader().receive(hello(one)))
     assert read_hello(body) == one
-    with pytest.raises(BadFrame, match="version 2"):
-        read_hello(msgpack.packb(["copperyard", 2]))
+    for version in (1, 3):
+        with pytest.raises(BadFrame, match=f"version {version} of the links; this program speaks 2"):
+            read_hello(msgpack.packb(["copperyard", version, b"fleet", "gw-1", "gw-2", 7, 8]))
     with pytest.raises(BadFrame, match="hello of ours"):
         read_hello(msgpack.packb(["other"]))
 
