Roll-up by cells: its tests, and a cell's sums outlive its delegates

Change: a report that heard less than half of what another fresh one did does not count for sums; lives and questions are read of the latest all the same. silent() is read of what is kept, so that it does not depend on the order of arrival; what counts is worked out once a moment. The tests compare drawn sites, flat and rolled up, through losses, lateness, repeats, restarts and lagging fronts: sums equal, epochs never above what each front said within the limit of age, nor above the flat ones where nothing lay in sockets, and equal where all was heard; rooms equal up to 9 values a cell, else within n // 10 ranks a cell of n.

--- a/copperyard/control/zones/rollup.py
+++ b/copperyard/control/zones/rollup.py
@@ -109,6 +109,10 @@
     learned: int
 
 
+def _fuller(one: _Kept) -> tuple[int, int, str]:
+    return one.report.heard, one.sent, one.report.by
+
+
 class CellFacts:
     """At each of the council: the newest report of each delegate of each cell. `cells`: (zone, cell) to the digest of
     its names and their number. Who takes a report of a link sees to it that `by` sent it and is of that cell."""
@@ -117,7 +121,8 @@
         self.cells, self.terms = dict(cells), terms
         self.known: dict[tuple[int, int], dict[str, _Kept]] = {}
         self._news: set[tuple[int, int, str]] = set()
-        self._heard = [-NEVER] * terms.zones  # by zone: when the latest report of it was sent
+        # what counted when it was last asked for, until there is something new
+        self._counts: tuple[int, dict[tuple[int, int], tuple[_Kept, _Kept]]] | None = None
         self._sizes = [0] * terms.zones
         for (zone, _), (_, size) in self.cells.items():
             self._sizes[zone] += size
@@ -126,7 +131,7 @@
         """Forget all reports."""
         self.known.clear()
         self._news.clear()
-        self._heard = [-NEVER] * self.terms.zones
+        self._counts = None
 
     def learn(self, now: int, report: CellReport, lay: int = 0) -> bool:
         """Take a report that lay `lay` ns with whoever passed it on; whether it was news. One of an unknown cell, of
@@ -134,7 +139,7 @@
         key = report.zone, report.cell
         if not 0 <= lay < MOST_COUNT or key not in self.cells or not self._right(report):
             return False
-        sent = now - lay
+        sent, self._counts = now - lay, None
         kept = self.known.setdefault(key, {})
         old = kept.get(report.by)
         if old is not None and (old.report.life, old.report.number) >= (report.life, report.number):
@@ -147,7 +152,6 @@
             del kept[oldest]
             self._news.discard((*key, oldest))
         self._news.add((*key, report.by))
-        self._heard[report.zone] = max(self._heard[report.zone], sent)
         return True
 
     def _right(self, report: CellReport) -> bool:
@@ -185,21 +189,26 @@
 
     # ---- what follows of it
 
-    def _current(self, now: int) -> dict[tuple[int, int], _Kept]:
-        found = {}
-        for key, kept in self.known.items():
-            fresh = [one for one in kept.values() if now - one.sent <= self.terms.silent]
-            if fresh:
-                last = max(one.sent for one in fresh)
-                found[key] = max((one for one in fresh if one.sent >= last - TOGETHER),
-                                 key=lambda one: (one.report.heard, one.sent, one.report.by))
-        return found
+    def _counted(self, now: int) -> dict[tuple[int, int], tuple[_Kept, _Kept]]:
+        """By cell that was heard within `terms.silent`: the report that tells how things are, and that for its sums."""
+        if self._counts is None or self._counts[0] != now:
+            found = {}
+            for key, kept in self.known.items():
+                fresh = [one for one in kept.values() if now - one.sent <= self.terms.silent]
+                if fresh:
+                    since = max(one.sent for one in fresh) - TOGETHER
+                    fullest = max(fresh, key=_fuller)
+                    latest = max((one for one in fresh if one.sent >= since), key=_fuller)
+                    found[key] = latest, latest if 2 * latest.report.heard >= fullest.report.heard else fullest
+            self._counts = now, found
+        return self._counts[1]
 
     def current(self, now: int) -> dict[tuple[int, int], CellReport]:
-        """The report that counts of each cell that was heard within `terms.silent`: of those sent at about the time of
-        the last one that which heard the most members, and of these the last. (A delegate that died heard more than
-        the one that is left, for a while; what it said last is old all the same.)"""
-        return {key: kept.report for key, kept in self._current(now).items()}
+        """The report whose sums count of each cell that was heard within `terms.silent`: of those sent at about the
+        time of the last one that which heard the most members, and of these the last. (A delegate that died heard more
+        than the one that is left, for a while; what it said last is old all the same.) Where that one heard less than
+        half of what another did, the other: a delegate that has just begun has not heard its cell yet."""
+        return {key: sums.report for key, (_, sums) in self._counted(now).items()}
 
     def demand(self, now: int) -> list[list[float]]:
         """demand[h][c], kB a second."""
@@ -241,15 +250,16 @@
         return found
 
     def silent(self, now: int, zone: int) -> int:
-        """ns since the last report of any cell of the zone was sent; NEVER or more if there was none."""
-        return now - self._heard[zone]
+        """ns since the last report of any cell of the zone was sent; NEVER if none is known."""
+        return min((now - one.sent for key, kept in self.known.items() if key[0] == zone for one in kept.values()),
+                   default=NEVER)
 
     def unreached(self, now: int) -> list[bool]:
         """By zone: whether the other zones' cells asked its gateways and got no answer at all. It takes LEAST_ASKED
         questions, or as many as there can be in a small site: one of each gateway that speaks to each there."""
         asked, reached = [0] * self.terms.zones, [0] * self.terms.zones
         speak = [0] * self.terms.zones
-        for (zone, _), kept in self._current(now).items():
+        for (zone, _), (kept, _) in self._counted(now).items():
             for z, one in enumerate(kept.report.zones):
                 if z != zone and now - kept.sent <= RECENT:
                     asked[z] += one.asked
@@ -262,7 +272,8 @@
         """By zone: gateways, and of them suspected, dead, gone by themselves, and not heard: those whose own report is
         in no cell's that counts. One that is dead is among these as well once its last report is old."""
         found = [[size, 0, 0, 0, size] for size in self._sizes]
-        for (zone, _), report in self.current(now).items():
+        for (zone, _), (latest, _) in self._counted(now).items():
+            report = latest.report
             for n, mask in enumerate((report.suspect, report.dead, report.left)):
                 found[zone][n + 1] += mask.bit_count()
             found[zone][4] -= report.heard
