--- a/tests/control/zones/test_rollup.py
+++ b/tests/control/zones/test_rollup.py
@@ -447,6 +447,35 @@
     assert cell.council.demand(TOGETHER + 1)[0] == [150.0, 0.0]
 
 
+def test_a_delegate_that_has_just_begun_does_not_empty_its_cell():
+    """Both delegates died at once; the others send their reports to the next one as they hear of it."""
+    cell = Cell(8)
+    cell.tell(0)
+    for by in ("m0", "m1"):
+        cell.council.learn(0, cell.report(0, by))
+    now = 5 * SECOND
+    for heard, rolled in ((["m2"], 80.0), (["m3", "m4"], 80.0), (["m5"], 280.0), (["m6", "m7"], 420.0)):
+        cell.tell(now, heard, to=["m2"], demand=(70.0, 0.0))
+        cell.council.learn(now, cell.report(now, "m2", lives={"m0": 2, "m1": 2}))
+        assert cell.council.demand(now)[0][0] == rolled and cell.council.lives(now)[0][2] == 2
+        now += SECOND
+
+
+def test_what_was_read_at_one_time_is_read_anew_once_there_is_more():
+    cell = Cell()
+    cell.tell(0)
+    assert cell.council.demand(0)[0] == [0.0, 0.0]
+    cell.council.learn(0, cell.report(0))
+    assert cell.council.demand(0)[0] == [40.0, 0.0] and cell.council.demand(SILENT + 1)[0] == [0.0, 0.0]
+    assert cell.council.demand(0)[0] == [40.0, 0.0]
+    cell.council.learn(0, cell.report(0), 2 * SILENT)  # the same by another way: it is older than was thought
+    assert cell.council.demand(0)[0] == [0.0, 0.0]
+    cell.council.learn(0, cell.report(0))
+    assert cell.council.demand(0)[0] == [40.0, 0.0]
+    cell.council.clear()
+    assert cell.council.demand(0)[0] == [0.0, 0.0]
+
+
 def test_no_more_than_a_few_delegates_of_a_cell_are_kept_and_the_oldest_learned_falls_out():
     cell = Cell()
     cell.tell(0, epoch=4)
