--- a/copperyard/state/agreement/follow.py
+++ b/copperyard/state/agreement/follow.py
@@ -22,7 +22,8 @@
 
 MS = 1_000_000
 ASK = 500 * MS  # after it a question counts as unanswered; between questions of one that knows nothing or looks on
-QUIET = 2000 * MS  # between questions else: a plan is renewed as often and holds five times that; hints are rarely lost
+QUIET = 2000 * MS  # between questions else, and up to a quarter more: a plan is renewed as often, so that a renewal's
+# hint comes before the next question, and it holds for five times that; one hint in a hundred is lost
 STALE = 3000 * MS  # without anything new: longer than between two renewals
 SETTLED = 1000 * MS  # what was held here for so long, a source that is not cut off has as well
 AVOID = 5000 * MS  # a bad source is passed over for so long
@@ -211,7 +212,7 @@
             self._ask(now, sender)  # a batch was not all
             return
         looks = not self.applied or self._stale(now) or self._lacks(self._wanted) and now - self._wanted_at < QUIET
-        self.ask_at = now + self._about(ASK if looks else QUIET)
+        self.ask_at = now + (self._about(ASK) if looks else QUIET + int(self.random.random() * QUIET / 4))
         self._last = ("", 0)
 
     @property
