--- a/copperyard/control/cells.py
+++ b/copperyard/control/cells.py
@@ -123,9 +123,8 @@
         """Members that reported to this delegate, and then not for MISSED: to be asked whether they live. (With only
         questions by turns, all of a cell ask each once in a second or two, but whoever asks first is alone with its
         suspicion for long; two delegates that ask at about the same time share it.)"""
-        if not self.serves(now):
-            return []
-        return [name for name, (at, _) in self._seen.items() if MISSED < now - at <= TOLD + MISSED]
+        missed = [name for name, (at, _) in self._seen.items() if MISSED < now - at <= TOLD + MISSED]
+        return missed if missed and self.serves(now) else []
 
     # ---- reporting
 
--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -152,6 +152,7 @@
         self.date_at = now  # a voter's next question for ages
         self._questions = Questions(self.random.getrandbits(31))
         self.ways: Ways | None = None
+        self._followed: tuple[int, float] | None = None  # what `ways` was made of: epoch and strength
         self.ways_at: int | None = now
         self.epochs = 0
         self.histories: list[tuple[int, int]] = []  # (index, epoch) of the last plans taken up
@@ -456,10 +457,13 @@
         if self.plan is not None and not self._waits and dates.index >= self.plan_index:
             # (a date of an entry that waits to be taken up says nothing of the plan before it)
             self.book.dated(dates.at)
-        ways = self.book.ways(now)
-        if ways != self.ways:
-            self.ways = ways
-            self._out.append(Act(ways))
+        followed = (self.plan.epoch if self.plan is not None else 0, self.book.strength(now))
+        if followed != self._followed:
+            self._followed = followed
+            ways = self.book.ways(now)
+            if ways != self.ways:
+                self.ways = ways
+                self._out.append(Act(ways))
         self.ways_at = self.book.next_change(now)
 
     def _look(self, now: int) -> None:
--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -122,12 +122,11 @@
         self.incarnation = incarnation
         self.members = {name: Member(name, zone, since=now) for name, zone in roster.items() if name != me}
         self.sight = Sight(me, dict(roster), zones)
-        # who knows whom: all of a cell each other, of other zones' gateways some; so many at least know any of these
-        self._knowers = max(sum(zone == self.zone for zone in roster.values()), len(self.members) // 2)
         self.awareness = 0
         self.leaving = False
         self.stood = now - 3600 * SECOND  # when this process last stood still
         self._number = 0
+        self._suspects: dict[str, Member] = {}
         self._probes: dict[int, Probe] = {}
         self._errands: dict[int, Errand] = {}
         self._order: list[str] = []
@@ -159,7 +158,7 @@
     def next_wake(self) -> int:
         times = [self._round_at, *(p.end for p in self._probes.values()),
                  *(p.ask_others for p in self._probes.values() if not p.helpers),
-                 *(m.until for m in self.members.values() if m.life is Life.SUSPECT),
+                 *(member.until for member in self._suspects.values()),
                  *(e.nothing_at for e in self._errands.values() if e.nothing_at)]
         return min(times)
 
@@ -196,8 +195,8 @@
                 self._say(errand.asker, Nothing(errand.number))
             if now >= errand.end:
                 del self._errands[number]
-        for member in self.members.values():
-            if member.life is Life.SUSPECT and now >= member.until:
+        for member in list(self._suspects.values()):
+            if now >= member.until:
                 self._hold(now, member, Life.DEAD, member.incarnation, self.me)
         if now >= self._round_at and not self.leaving:
             self._round_at = now + self._slow(self.pace.period)
@@ -215,9 +214,8 @@
         self.awareness = min(AWARE, self.awareness + 2)
         self._probes.clear()
         self._errands.clear()
-        for member in self.members.values():
-            if member.life is Life.SUSPECT:
-                member.until = max(member.until, now) + late
+        for member in self._suspects.values():
+            member.until = max(member.until, now) + late
         self.sight.forget(now)
 
     def _slow(self, time: int) -> int:
@@ -371,7 +369,7 @@
         if newer or rumour.life > member.life:
             self._hold(now, member, rumour.life, rumour.incarnation, rumour.by)
             # a few of all look for themselves: a suspicion that some share ends sooner, one that is wrong as well
-            if rumour.life is Life.SUSPECT and self.random.random() * self._knowers < LOOKERS:
+            if rumour.life is Life.SUSPECT and self.random.random() * len(self.members) < LOOKERS:
                 self.doubt(member.name)
         elif rumour.life is Life.SUSPECT and member.life is Life.SUSPECT:
             self._share(member, rumour.by)
@@ -380,6 +378,10 @@
         """Take up something else about a gateway, and tell others."""
         changed = life is not member.life
         member.life, member.incarnation = life, incarnation
+        if life is Life.SUSPECT:
+            self._suspects[member.name] = member
+        else:
+            self._suspects.pop(member.name, None)
         if changed or life is Life.SUSPECT:
             member.since = now
             member.accusers = {by}
--- a/copperyard/membership/gateways/sight.py
+++ b/copperyard/membership/gateways/sight.py
@@ -83,17 +83,18 @@
         """By zone, as in a Row: how many gateways were asked since then, how many of them answered, how many spoke by
         themselves, how many answered late. A question of the last `period` that may still be answered is none."""
         cells = [[0, 0, 0, 0] for _ in range(self.zones)]
+        since = max(0, since)
         for name, seen in self._seen.items():
-            row = cells[self.zone_of[name]]
-            if seen.asked >= max(0, since) and (seen.reached >= seen.asked or now - seen.asked >= period):
+            if seen.asked >= since and (seen.reached >= seen.asked or now - seen.asked >= period):
+                row = cells[self.zone_of[name]]
                 row[0] += 1
                 if seen.reached >= seen.asked:
                     row[1] += 1
                     row[3] += seen.late
-            if seen.heard >= max(0, since):
-                row[2] += 1
+            if seen.heard >= since:
+                cells[self.zone_of[name]][2] += 1
         for zone, at in enumerate(self._spoke):
-            cells[zone][2] += at >= max(0, since)
+            cells[zone][2] += at >= since
         return [(a, b, c, d) for a, b, c, d in cells]
 
     def forget(self, now: int) -> None:
@@ -133,10 +134,11 @@
         sums = [[[0, 0, 0, 0] for _ in range(self.zones)] for _ in range(self.zones)]
         for at, row in self.rows.values():
             if now - at <= self._fresh:
-                for y, cells in enumerate(row.zones):
-                    total = sums[self.zone_of[row.name]][y]
-                    for k in range(4):
-                        total[k] += cells[k]
+                for total, (asked, reached, heard, late) in zip(sums[self.zone_of[row.name]], row.zones, strict=True):
+                    total[0] += asked
+                    total[1] += reached
+                    total[2] += heard
+                    total[3] += late
         return [[_way(*sums[x][y]) for y in range(self.zones)] for x in range(self.zones)]
 
     def standings(self, now: int, ways: list[list[Way]] | None = None) -> list[Standing]:
--- a/copperyard/state/agreement/follow.py
+++ b/copperyard/state/agreement/follow.py
@@ -16,7 +16,7 @@
 import random
 from collections.abc import Callable
 
-from .council import Apply, Dates, Order, Restore, Say, news
+from .council import BATCH, Apply, Dates, Order, Restore, Say, news
 from .listeners import Listeners
 from .messages import Entry, Message, Newer, News, Since, Snapshot
 
@@ -30,7 +30,7 @@
 OUT_MOST = 4  # questions out and younger than ASK, where hints ask for more
 KNOWN_MOST = 64  # sources of which something is remembered
 ANSWER = 10_000 * MS  # an answer that took longer dates nothing that would still hold
-KEPT = 256  # entries kept to be passed on
+KEPT = BATCH  # entries kept to be passed on: one that restarts gets a snapshot and all of them in one answer
 
 
 class Questions:
