--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -149,6 +149,7 @@
         self.renewed_at = now
         self.report_at = now + int(self.random.random() * REPORT)
         self.gather_at = now + int(self.random.random() * GATHER)
+        self.plan_at = now
         self.date_at = now  # a voter's next question for ages
         self._questions = Questions(self.random.getrandbits(31))
         self.ways: Ways | None = None
@@ -367,8 +368,9 @@
             if council.propose(now, ENTRIES.body(Renewed(self.plan.epoch))) is not None:
                 self.renewed_at = now
             return
-        if now - self.planner.begun < 2 * REPORT:
-            return  # reports have to come in first
+        if now - self.planner.begun < 2 * REPORT or now < self.plan_at:
+            return  # reports have to come in first; and what they say together is not read with each message
+        self.plan_at = now + GATHER
         plan = self.planner.next(now, self.plan, self.view(now), self.facts.epochs(now))
         if plan is not None:
             reason = wrong(self.place.terms, self.plan, plan)
