benchmarks.scale: time taken at drawn gateways only, messages by kind, who knew first

Reading a thread's processor time costs 0.2 us of it and up to 1 us of the clock here, six times an event: with a drawn 200, the council and relays it no longer weighs on large runs. dead_known_zone_s tells those of the dead one's zone apart from others who hold its name. tests/common/test_scale.py: 21 passed.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -5,8 +5,9 @@
 N gateways in 5 zones of 2 regions; an odd council spread over all zones. Each scenario of `SCENARIOS` goes on where
 the one before it ended; links take 1 to 60 ms and lose 1 message in 100. The last line is one JSON object, also where
 the run was stopped (`stopped` says why). Processor time is this thread's, of the product's common part alone (hear,
-wake, next_wake, take); bytes are those of true frames, sent and received, weighed at the council, the relays and some
-200 drawn gateways. Exit: 0 all ran and all rules held, 1 not so, 2 bad input, with one line and nothing started.
+wake, next_wake, take); bytes are those of true frames, sent and received. Both are taken at the council, some 50
+relays and some 200 drawn gateways: what is said of all is said of these. Exit: 0 all ran and all rules held, 1 not so,
+2 bad input, with one line and nothing started.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 import sys
 import time
 from collections import Counter, deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import fields, is_dataclass
 from enum import Enum
 from functools import partial
@@ -39,7 +40,7 @@
 CPU, BYTES = 12.0, 18_000.0  # what the operators allow a gateway: ms of a core a second, bytes a second
 SESSIONS, KB = 4, 100.0  # sessions of a gateway here, kB/s of each
 ROOM = 2.0  # hosts' room over what is asked
-WEIGHED, HELD = 200, 8  # gateways drawn whose frames are weighed, whose memory is walked
+WEIGHED, HELD = 200, 8  # gateways drawn whose time and frames are taken, whose memory is walked
 CELL = 24  # of so many gateways one is killed where the mechanism knows no relays: as many as a delegate each
 RACK = 40
 WEEK = {"failures": 126 / 7400, "replaced": 11_900 / 7400}  # of a week's, a gateway
@@ -181,6 +182,7 @@
         self.weighed: set[str] = set()
         self.windows: list[dict[str, tuple[float, float]]] = []  # of a second each: ms, bytes (weighed ones)
         self.recording = False
+        self.sorts: dict[str, list[int]] = {}  # by kind of message: how many were weighed as they were sent, bytes
         self.dead_at: dict[str, dict[str, int]] = {}  # of watched ones: who held it for dead, when
         self.told: dict[tuple[str, str], int] = {}  # (voter, watched one): when reports of cells said that it is dead
         self.wrong: dict[str, set[str]] = {}  # gateways that run and were held for dead: by whom
@@ -197,14 +199,18 @@
         tally = self.tallies[sender]
         tally.sent += 1
         tally.peers.add(to)
-        if sender in self.weighed:
-            tally.sent_bytes += len(MESSAGES.frame(message))
+        if tally.weighed:
+            size = len(MESSAGES.frame(message))
+            tally.sent_bytes += size
+            sort = self.sorts.setdefault(type(message).__name__, [0, 0])
+            sort[0] += 1
+            sort[1] += size
 
     def _arriving(self, sender: str, to: str, message: Any) -> None:
         tally = self.tallies[to]
         tally.got += 1
         tally.callers.add(sender)
-        if to in self.weighed:
+        if tally.weighed:
             tally.got_bytes += len(MESSAGES.frame(message))
         if self.dead_at and to in self.site.voters:
             for name in told_dead(self.site, message):
@@ -261,7 +267,8 @@
     def _costs(self) -> dict[str, tuple[int, int]]:
         if not self.recording:
             return {}
-        return {name: (one.spent, one.sent_bytes + one.got_bytes) for name, one in self.tallies.items()}
+        return {name: (one.spent, one.sent_bytes + one.got_bytes)
+                for name, one in self.tallies.items() if one.weighed}
 
     def align(self) -> None:
         """Up to a whole second, so that windows begin with what follows."""
@@ -307,11 +314,13 @@
         out = set(self.site.voters) | set(self.relays())
         return [name for name in self.site.net.nodes if name not in out]
 
-    def weigh(self) -> None:
-        """Draw whose frames are weighed from now on."""
+    def weigh(self, more: Iterable[str] = ()) -> None:
+        """Draw whose time and frames are taken from now on, these among them."""
         plain, between = self.plain(), self.relays()
-        self.weighed = {*self.site.voters, *self.random.sample(plain, min(WEIGHED, len(plain))),
+        self.weighed = {*self.site.voters, *more, *self.random.sample(plain, min(WEIGHED, len(plain))),
                         *self.random.sample(between, min(WEIGHED // 4, len(between)))}
+        for name, tally in self.tallies.items():
+            tally.weighed = name in self.weighed
 
     def by_role(self, of: dict[str, float]) -> dict[str, float | None]:
         leader, between = self.site.leader(), set(self.relays())
@@ -331,8 +340,7 @@
             part = self.windows[at:at + span]
             for name in part[-1]:
                 ms[name] = max(ms.get(name, 0.0), sum(w[name][0] for w in part if name in w) / span)
-                if name in self.weighed:
-                    sent[name] = max(sent.get(name, 0.0), sum(w[name][1] for w in part if name in w) / span)
+                sent[name] = max(sent.get(name, 0.0), sum(w[name][1] for w in part if name in w) / span)
         return {"ms_per_s": cut([v for name, v in ms.items() if name not in voters], 1.0),
                 "bytes_per_s": cut([v for name, v in sent.items() if name not in voters], 1.0),
                 "voter_ms_per_s": cut([v for name, v in ms.items() if name in voters], 1.0),
@@ -347,6 +355,10 @@
                 longest = max(longest, row[name])
         return longest
 
+    def kinds(self) -> dict[str, list[int]]:
+        """Messages that the weighed ones sent, by kind: how many, the mean of bytes of one."""
+        return {kind: [count, round(size / count)] for kind, (count, size) in sorted(self.sorts.items())}
+
     def counts(self, names: list[str]) -> dict[str, int]:
         """The most entries of everything held by any of these."""
         found: Counter[str] = Counter()
@@ -363,11 +375,12 @@
     """What ten seconds cost in which nothing happens, and what is held."""
     run.weigh()
     run.align()
+    run.sorts.clear()
     before = {name: (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes) for name, t in run.tallies.items()}
     run.step(10)
     part = {name: tuple((a - b) / 10 for a, b in zip(
         (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes), before[name], strict=True))
-        for name, t in run.tallies.items()}
+        for name, t in run.tallies.items() if t.weighed}
     leader = run.site.leader()
     held: dict[str, float] = {}
     sample = run.random.sample(run.plain(), min(HELD, len(run.plain()))) + run.relays()[:2] + list(run.site.voters)
@@ -378,8 +391,9 @@
     return {
         "cpu_ms_per_s": run.by_role({name: one[0] / 1e6 for name, one in part.items()}),
         "messages_per_s": run.by_role({name: one[1] + one[2] for name, one in part.items()}),
-        "bytes_per_s": run.by_role({name: part[name][3] + part[name][4] for name in sorted(run.weighed)}),
-        "sent_bytes_per_s": run.by_role({name: part[name][3] for name in sorted(run.weighed)}),
+        "bytes_per_s": run.by_role({name: one[3] + one[4] for name, one in part.items()}),
+        "sent_bytes_per_s": run.by_role({name: one[3] for name, one in part.items()}),
+        "kinds": run.kinds(),
         "control_mb": max((held[name] for name in plain), default=None), "held_mb": roles,
         "settings_mb": round(held_bytes(run.site.place(plain[0]), set()) / 1e6, 3),
         "held": run.counts(plain), "held_leader": run.counts([leader]) if leader else {},
@@ -408,10 +422,14 @@
     times = [(at - begin) / SECOND for name in names for at in run.dead_at[name].values()]
     all_know = all(who in run.dead_at[name] or who not in run.site.net.nodes
                    for name in names for who in holders[name])
-    run.dead_at = {}
+    in_time, run.dead_at = run.dead_at, {}
     run.start(names)
     run.until(run.settled, 60)
+    near = [(at - begin) / SECOND for name in names for who, at in in_time[name].items()
+            if run.site.roster[who] == run.site.roster[name]]
     return {"dead_known_s": round(max(times), 3) if all_know else None, "dead_known_p50_s": cut(times, 0.5),
+            "dead_known_first_s": [round((min(one.values()) - begin) / SECOND, 3) for one in in_time.values() if one],
+            "dead_known_zone_s": cut(near, 1.0) if all_know else None,
             "dead_known_council_s": round(max(leader.values()), 3) if len(leader) == len(names) else None,
             "dead_holders": max(len(one) for one in holders.values())}
 
@@ -520,10 +538,10 @@
     if any(name in site.net.nodes for name in names):
         site.lose(3)
         run.step(40)
-    run.weigh()
-    run.weighed |= set(run.random.sample(names, min(WEIGHED, len(names))))
+    run.weigh(run.random.sample(names, min(WEIGHED, len(names))))
     run.align()
     run.windows, run.recording = [], True
+    run.sorts.clear()
     site.rooms[3] = run.full[3]
     run.start(names)
     here = run.until(lambda: all(one.core.plan is not None for one in map(site.front, names))
@@ -535,7 +553,7 @@
     ms, size = worst["ms_per_s"], worst["bytes_per_s"]
     found = {"storm_gateways": len(names), "storm_joined_s": here, "storm_worst_1s": worst,
              "storm_budget_times": round(max((ms or 0) / CPU, (size or 0) / BYTES), 3),
-             "storm_over_twice_s": run.over()}
+             "storm_over_twice_s": run.over(), "storm_kinds": run.kinds()}
     run.until(lambda: site.standing(3) is Standing.OPEN, 60)
     return found
 
--- a/copperyard/lab/sites/simulated.py
+++ b/copperyard/lab/sites/simulated.py
@@ -38,9 +38,10 @@
 @dataclass(slots=True)
 class Tally:
     """What one gateway's part cost, through all its lives here: ns of this thread's processor time (`thread_time_ns`;
-    about 0.2 us a call are the measuring's own), messages, their bytes where it is weighed, whom it sent to, who sent
-    to it."""
+    about 0.2 us a call are the measuring's own) and bytes, both only while it is `weighed`; messages, whom it sent to,
+    who sent to it."""
 
+    weighed: bool = False
     spent: int = 0
     sent: int = 0
     got: int = 0
@@ -79,26 +80,26 @@
     # ---- what runs on the network
 
     def hear(self, now: int, sender: str, message: Any) -> None:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         self.core.hear(now, sender, message)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
 
     def wake(self, now: int) -> None:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         self.core.wake(now)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
 
     def next_wake(self) -> int:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         found = self.core.next_wake()
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
         return found
 
     def collect(self, now: int) -> list[tuple[str, Any]]:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         out: list[tuple[str, Any]] = []
         for order in self.core.take():
             self._order(order, out)
@@ -114,7 +115,7 @@
                         self._order(one, out)
                 else:
                     self._order(step, out)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
         return out
 
