--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -166,13 +166,13 @@
     """A site that scenarios play on. `wall`: real seconds, `memory`: MB, after which Stopped is raised."""
 
     def __init__(self, gateways: int, seed: int, voters: int, wall: float = 1e9, memory: float = 1e9,
-                 manner: Manner = LINKS) -> None:
+                 calm_s: float = 10.0) -> None:
         sizes = [gateways // ZONES + (z < gateways % ZONES) for z in range(ZONES)]
-        self.gateways, self.wall, self.memory = gateways, wall, memory
+        self.gateways, self.wall, self.memory, self.calm = gateways, wall, memory, calm_s
         self.begun = time.monotonic()
         self.ran = 0.0  # real seconds in which virtual ones passed
         self.random = random.Random(seed)
-        self.site = Site(seed, ZONES, sizes[0], REGIONS, manner, sizes=sizes, voters=spread(voters, ZONES), notes=0,
+        self.site = Site(seed, ZONES, sizes[0], REGIONS, LINKS, sizes=sizes, voters=spread(voters, ZONES), notes=0,
                          measured=True, begin=False)
         self.site.demand = [size * SESSIONS * KB for size in sizes]
         self.site.rooms = [ROOM * kb for kb in self.site.demand]
@@ -372,13 +372,13 @@
 
 
 def calm(run: Run, seconds: float) -> dict[str, Any]:
-    """What ten seconds cost in which nothing happens, and what is held."""
+    """What some seconds (--calm) cost in which nothing happens, and what is held."""
     run.weigh()
     run.align()
     run.sorts.clear()
     before = {name: (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes) for name, t in run.tallies.items()}
-    run.step(10)
-    part = {name: tuple((a - b) / 10 for a, b in zip(
+    run.step(run.calm)
+    part = {name: tuple((a - b) / run.calm for a, b in zip(
         (t.spent, t.sent, t.got, t.sent_bytes, t.got_bytes), before[name], strict=True))
         for name, t in run.tallies.items() if t.weighed}
     leader = run.site.leader()
@@ -638,6 +638,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--voters", type=int, default=9, help="an odd number, spread over the zones")
     parser.add_argument("--for", type=float, default=600.0, dest="seconds", help="virtual s of false and slow")
+    parser.add_argument("--calm", type=float, default=10.0, help="virtual s of calm")
+    parser.add_argument("--warm", type=float, default=12.0, help="virtual s before the first scenario")
     parser.add_argument("--faults", nargs="+", default=[name for name in SCENARIOS if name != "week"],
                         metavar="NAME", help="of: " + " ".join(SCENARIOS))
     parser.add_argument("--json", type=Path, default=None, metavar="FILE", help="keep the last line there as well")
@@ -651,9 +653,9 @@
     for name in found.faults:
         if name not in SCENARIOS:
             parser.error(f"--faults: {name!r} is none of {' '.join(SCENARIOS)}")
-    for name in ("seconds", "wall", "memory"):
-        if not getattr(found, name) > 0:
-            parser.error(f"--{'for' if name == 'seconds' else name}: {getattr(found, name)} is not above 0")
+    for name in ("seconds", "calm", "warm", "wall", "memory"):
+        if not 0 < getattr(found, name) <= 1e9:
+            parser.error(f"--{'for' if name == 'seconds' else name}: {getattr(found, name)} is not above 0, 1e9 at most")
     if found.json is not None and not found.json.parent.is_dir():
         parser.error(f"--json: {str(found.json.parent)!r} is no folder")
     return found
@@ -669,39 +671,41 @@
 
 
 def play(gateways: int, seed: int, voters: int, seconds: float, names: list[str], wall: float = 1e9,
-         memory: float = 1e9, say: Callable[[str], None] = print) -> dict[str, Any]:
-    """Play scenarios one after another on one site. The result's keys are null where they were not measured."""
+         memory: float = 1e9, warm: float = 12.0, calm_s: float = 10.0) -> dict[str, Any]:
+    """Play scenarios one after another on one site, `warm` virtual seconds after all follow its first plan. The
+    result's keys are null where they were not measured."""
     result: dict[str, Any] = dict.fromkeys((
         "cpu_ms_per_s", "bytes_per_s", "control_mb", "dead_known_s", "zone_known_s", "false_deaths",
         "change_in_force_s", "rejoin_s"))
     result |= {"gateways": gateways, "real": 0, "hollow": gateways, "clock": "virtual", "mechanism": mechanism(),
-               "seed": seed, "voters": voters, "loss": LINKS.loss, "delay_ms": [d // MS for d in LINKS.delay],
+               "seed": seed, "voters": voters, "calm_s": calm_s, "warm_s": warm, "loss": LINKS.loss,
+               "delay_ms": [d // MS for d in LINKS.delay],
                "rules": "held", "histories": 1, "stopped": None, "played": []}
     gc.collect()
     gc.disable()
-    run = Run(gateways, seed, voters, wall, memory)
+    run = Run(gateways, seed, voters, wall, memory, calm_s)
     try:
         run.begin()
         result["settled_s"] = run.until(run.settled, 90)
-        say(f"{gateways} gateways, seed {seed}: all follow one plan after {result['settled_s']} s; "
-            f"{resident_mb():.0f} MB")
-        run.step(12)
+        print(f"{gateways} gateways, seed {seed}: all follow one plan after {result['settled_s']} s; "
+            f"{resident_mb():.0f} MB", flush=True)
+        run.step(warm)
         for name in names:
             real, now = time.monotonic(), run.site.net.now
             found = SCENARIOS[name](run, seconds)
             result |= found
             result["played"].append(name)
             shown = {key: value for key, value in found.items() if "held" not in key or key == "held_mb"}
-            say(f"{name} ({(run.site.net.now - now) / SECOND:.0f} s in {time.monotonic() - real:.0f} real s): "
-                f"{json.dumps(shown)}")
+            print(f"{name} ({(run.site.net.now - now) / SECOND:.0f} s in {time.monotonic() - real:.0f} real s): "
+                f"{json.dumps(shown)}", flush=True)
             gc.collect()
     except Stopped as stop:
         result["stopped"] = str(stop)
-        say(f"stopped: {stop}")
+        print(f"stopped: {stop}")
     except Broken as broken:
         result["rules"] = str(broken)
         result["histories"] = 2 if "two plans" in str(broken) else 1
-        say(f"broken: {broken}")
+        print(f"broken: {broken}")
     finally:
         gc.enable()
         gc.unfreeze()
@@ -718,7 +722,8 @@
 
 def main(argv: list[str] | None = None) -> int:
     asked = arguments(sys.argv[1:] if argv is None else argv)
-    result = play(asked.gateways, asked.seed, asked.voters, asked.seconds, asked.faults, asked.wall, asked.memory)
+    result = play(asked.gateways, asked.seed, asked.voters, asked.seconds, asked.faults, asked.wall, asked.memory,
+                  asked.warm, asked.calm)
     result |= {"commit": commit(), "cores": os.cpu_count(), "load": round(os.getloadavg()[0], 1),
                "python": sys.version.split()[0]}
     line = json.dumps(result)
--- a/tests/common/test_scale.py
+++ b/tests/common/test_scale.py
@@ -153,7 +153,9 @@
     (["50", "--voters", "4"], "--voters: 4 is no odd number"),
     (["50", "--faults", "calm", "flood"], "--faults: 'flood' is none of calm"),
     (["50", "--for", "0"], "--for: 0.0 is not above 0"),
+    (["50", "--calm", "-1"], "--calm: -1.0 is not above 0"),
     (["50", "--for", "nan"], "--for: nan is not above 0"),
+    (["50", "--for", "inf"], "--for: inf is not above 0, 1e9 at most"),
     (["50", "--json", "/nowhere/x.json"], "--json: '/nowhere' is no folder"),
 ])
 def test_bad_input_is_told_in_one_line_and_nothing_starts(given, told, capsys, monkeypatch):
