--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -655,7 +655,8 @@
             parser.error(f"--faults: {name!r} is none of {' '.join(SCENARIOS)}")
     for name in ("seconds", "calm", "warm", "wall", "memory"):
         if not 0 < getattr(found, name) <= 1e9:
-            parser.error(f"--{'for' if name == 'seconds' else name}: {getattr(found, name)} is not above 0, 1e9 at most")
+            flag = "for" if name == "seconds" else name
+            parser.error(f"--{flag}: {getattr(found, name)} is not above 0, 1e9 at most")
     if found.json is not None and not found.json.parent.is_dir():
         parser.error(f"--json: {str(found.json.parent)!r} is no folder")
     return found
