--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -402,7 +402,11 @@
 
 def dead(run: Run, seconds: float) -> dict[str, Any]:
     """Three gateways die, of three zones."""
-    names = [next(iter(run.random.sample([n for n in run.plain() if run.site.roster[n] == z], 1))) for z in (0, 1, 4)]
+    names = []
+    for zone in (0, 1, 4):
+        here = [name for name in run.site.of(zone) if name not in run.site.voters]  # in a small zone all are relays
+        plain = set(run.plain())
+        names.append(run.random.choice([name for name in here if name in plain] or here))
     holders = {name: [one.name for one in run.site.fronts() if name in one.core.members.members] for name in names}
     run.dead_at, run.told = {name: {} for name in names}, {}
     begin = run.site.net.now
--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -150,6 +150,7 @@
         self.report_at = now + int(self.random.random() * REPORT)
         self.gather_at = now + int(self.random.random() * GATHER)
         self.plan_at = now
+        self.spread_at = now
         self.date_at = now  # a voter's next question for ages
         self._questions = Questions(self.random.getrandbits(31))
         self.ways: Ways | None = None
@@ -181,19 +182,33 @@
         return len(self._durable) >= WAITING
 
     def _gather(self, now: int) -> None:
-        for action in self.members.take():
+        while actions := self.members.take():
+            self._take_swim(now, actions)
+        core = self.council or self.follower
+        assert core is not None
+        for order in core.take():
+            self._order(order)
+
+    def _take_swim(self, now: int, actions: Sequence[SwimSay | Changed | Stood]) -> None:
+        for action in actions:
             if isinstance(action, SwimSay):
                 self._out.append(Send(action.to, action.message))
             elif isinstance(action, Changed):
                 self._out.append(Note("gateway " + action.life.name.lower(), (
                     ("gateway", action.name), ("seen", "first-hand" if action.first else "told"))))
+                if action.life is swim.Life.DEAD or action.first and action.life is swim.Life.SUSPECT:
+                    self._spread(now, action.name)
             else:
                 assert isinstance(action, Stood)
                 self._out.append(Note("stood still", (("ms", action.ns // 1_000_000),)))
-        core = self.council or self.follower
-        assert core is not None
-        for order in core.take():
-            self._order(order)
+
+    def _spread(self, now: int, name: str) -> None:
+        """A delegate that suspects a member of its cell, or learns of its death, tells all of the cell: by turns it
+        took some seconds more until enough shared the suspicion, and three until the last one knew of the death. However
+        many die, not more than once a second."""
+        if name in self.place.cells.cell.names and now >= self.spread_at and self.duty.serves(now):
+            self.spread_at = now + SECOND
+            self.members.tell(now, [other for other in self.place.cells.cell.names if self._alive(other)], name)
 
     def _order(self, order: Order) -> None:
         if isinstance(order, Say):
--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -16,7 +16,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .messages import Ack, Life, Look, Message, Nothing, Ping, Rumour
@@ -168,6 +168,12 @@
         if member is not None and member.life is not Life.DEAD and name not in self._urgent:
             self._urgent.append(name)
 
+    def tell(self, now: int, names: Sequence[str], whom: str) -> None:
+        """Ask all these at once, so that what is held of one gateway travels with each of the questions."""
+        for name in names:
+            self._rumour(whom)
+            self._ask(now, name)
+
     def leave(self, now: int) -> None:
         """A planned end: tell some at once; they tell the others."""
         self.leaving = True
