--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -204,7 +204,7 @@
 
     def _spread(self, now: int, name: str) -> None:
         """A delegate that suspects a member of its cell, or learns of its death, tells all of the cell: by turns it
-        took some seconds more until enough shared the suspicion, and three until the last one knew of the death. However
+        took some seconds more until enough shared the suspicion, and three until the last knew of the death. However
         many die, not more than once a second."""
         if name in self.place.cells.cell.names and now >= self.spread_at and self.duty.serves(now):
             self.spread_at = now + SECOND
