lab scale: real gateways beside hollow ones on loopback sockets, faults, figures

Change: `copperyard lab scale` runs real `serve` processes with hosts and viewers beside hollow gateways, many to a process, that run Neighbours and Links as they are. Outside the laboratory only two counters were added: Links.written and Links.taken, frames since the start.

--- a/copperyard/cli/lab.py
+++ b/copperyard/cli/lab.py
@@ -136,6 +136,56 @@
         raise typer.Exit(1)
 
 
+@lab.command("scale")
+def scale(settings: Annotated[Path | None, typer.Argument(help="The site's settings; a drawn site else.")] = None,
+          gateways: Annotated[int, typer.Option(help="In all.")] = 60,
+          real: Annotated[int, typer.Option(help="Of them real ones, with viewers.")] = 4,
+          processes: Annotated[int | None, typer.Option(help="For hollow ones; voters have their own.")] = None,
+          last: Annotated[str, typer.Option("--for", help="From the first plan everywhere to the end.")] = "60s",
+          seed: int = 1,
+          faults: Annotated[Path | None, typer.Option(help="What fails, XML; else one gateway, then a zone.")] = None,
+          rate: Annotated[float | None, typer.Option(help="Viewers a second in all.", min=0, max=1000)] = None,
+          keep: Annotated[Path | None, typer.Option(help="Folder for what the processes write.")] = None) -> None:
+    """Run real gateways beside hollow ones, which have no viewers; the last line on stdout is what it came to. Exit 1
+    where a rule broke, plans had more than one history, or a process ended by itself; 2 where it cannot be run."""
+    from rich.console import Console
+    from rich.progress import Progress
+
+    from ..lab.sites.scale import Refused, Wish, machine_room, prepare, run_scale
+
+    wish = Wish(gateways, real, processes, seconds(last), seed, rate)
+    place = settings
+    try:
+        text = settings.read_bytes() if settings is not None else None
+        place = faults
+        trouble = faults.read_bytes() if faults is not None else None
+        text, site, layout, takes = prepare(text, str(settings or "a drawn site"), wish, trouble, str(faults),
+                                            machine_room())
+    except BadSettings as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    except Refused as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    except OSError as error:
+        typer.echo(f"{place}: {error.strerror}", err=True)
+        raise typer.Exit(2) from None
+    console = Console(stderr=True)
+    console.print(f"{gateways} gateways, {real} real ones and {gateways - real} hollow ones, in {takes.processes} "
+                  f"processes: some {takes.memory_mb:.0f} MB and up to {takes.descriptors} descriptors in one of them",
+                  highlight=False, soft_wrap=True)
+    with Progress(console=console, transient=True, disable=not console.is_terminal) as bar:
+        task = bar.add_task("scale", total=wish.seconds)
+        result = trio.run(run_scale, site, text, layout, wish, keep,
+                          lambda words: console.print(words, highlight=False, soft_wrap=True),
+                          lambda done: bar.update(task, completed=done))
+    for words in [*result.rules_broken[:50], *result.faults[:50]]:
+        typer.echo(words, err=True)
+    typer.echo(json.dumps(result.figures))
+    if not result.good:
+        raise typer.Exit(1)
+
+
 def _tell(result: Result) -> None:
     for one in result.breaks[:50]:
         typer.echo(f"rule {one.rule} broken at {one.time / 1e9:.3f} s by {one.front}: {one.text}", err=True)
--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -81,6 +81,7 @@
         self.address = ""
         self._outs = {name: _Out() for name in addresses if name != me}
         self._in: dict[str, tuple[int, int, trio.CancelScope]] = {}  # life and number of the newest, by sender
+        self.written = self.taken = 0  # frames, since the start
         self._number = 0
         self._new = 0
         self._nursery: trio.Nursery | None = None
@@ -157,6 +158,7 @@
                     continue
                 written.append(trio.current_time())
                 await send_all(stream, frame)
+                self.written += 1
 
         async def count() -> None:
             kept, counted = b"", 0
@@ -250,6 +252,7 @@
         while True:
             while bodies:
                 self.heard(sender, self.codec.read(bodies.popleft()))
+                self.taken += 1
                 counted += 1
                 if not owed:
                     owed = _COUNT.pack(counted & 0xFFFFFFFF)
--- /dev/null
+++ b/copperyard/lab/sites/leash.py
@@ -0,0 +1,24 @@
+"""Runs the program's command line until its standard input ends: whoever started it holds the other end, so the process
+goes with it, however that ended.
+
+    python -m copperyard.lab.sites.leash serve SITE --name NAME
+"""
+
+from __future__ import annotations
+
+import os
+import runpy
+import sys
+import threading
+
+
+def _watch() -> None:
+    while os.read(0, 4096):
+        pass
+    os._exit(9)
+
+
+if __name__ == "__main__":
+    threading.Thread(target=_watch, daemon=True).start()
+    sys.argv[0] = "copperyard"
+    runpy.run_module("copperyard.cli.main", run_name="__main__", alter_sys=False)
--- /dev/null
+++ b/copperyard/lab/sites/scalefaults.py
@@ -0,0 +1,75 @@
+"""What fails in a run at scale, as XML: read, and checked against schema and site before anything starts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cache
+from importlib.resources import files
+
+from lxml import etree
+
+from ...config import BadSettings, Mistake, Site
+from ...config.document import read_document
+from ...config.units import duration
+
+SECOND = 1_000_000_000
+DRAWN = ("leader", "voter", "gateway", "rack", "zone", "region")
+NEEDS_END = ("pause", "cut", "churn")
+NEEDS_WHO = ("kill", "pause", "cut", "start")
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What fails: `at` s after the beginning up to `until`. `who`: words of DRAWN, or names of gateways, zones and
+    regions. `share` of the gateways a minute, for churn."""
+
+    kind: str
+    at: float
+    until: float
+    who: tuple[str, ...]
+    share: float = 0.1
+
+
+@cache
+def _schema() -> etree.XMLSchema:
+    text = files("copperyard.lab.sites").joinpath("scale.xsd").read_bytes()
+    return etree.XMLSchema(etree.fromstring(text), attribute_defaults=True)
+
+
+def usual_troubles(seconds: float) -> tuple[Trouble, ...]:
+    """What fails where nothing else is said: a calm third, one gateway killed, then a zone killed and started again."""
+    return (Trouble("kill", seconds / 3, seconds / 3, ("gateway",)),
+            Trouble("kill", seconds * 0.54, seconds * 0.82, ("zone",)))
+
+
+def read_troubles(data: bytes, site: Site, regions: tuple[str, ...], seconds: float, name: str) -> tuple[Trouble, ...]:
+    """BadSettings with all mistakes, each with its line. `regions`: names, by zone; `seconds`: how long the run is."""
+    root = read_document(data, name, _schema())
+    mistakes: list[Mistake] = []
+    known = {*DRAWN, *regions, *site.zones, *(g.name for g in site.gateways)}
+    found = []
+    for one in root:
+        def wrong(text: str, line: int = int(one.sourceline or 0)) -> None:
+            mistakes.append(Mistake(line, f"Element 'fault': {text}"))
+        kind, at = str(one.get("kind")), duration(str(one.get("at"))) / SECOND
+        until = at + duration(str(one.get("for"))) / SECOND
+        who = tuple(str(one.get("who") or "").split())
+        if kind == "change":
+            wrong("kind 'change': a change of settings is a restart of all today, there is none to be tried")
+        if until >= seconds:
+            wrong(f"at '{one.get('at')}' and for '{one.get('for')}' reach to {until:g} s of a run of {seconds:g} s")
+        if until == at and kind in NEEDS_END:
+            wrong(f"kind '{kind}' without 'for' would never end")
+        if kind in NEEDS_WHO and not who:
+            wrong(f"kind '{kind}' without 'who'")
+        for word in who:
+            if word not in known:
+                wrong(f"who '{word}' is no gateway, zone or region of this site and none of {', '.join(DRAWN)}")
+            elif word in ("leader", "voter") and kind == "start":
+                wrong(f"who '{word}' cannot be held back from the start: nothing would be agreed on")
+        if kind == "churn" and who:
+            wrong(f"who '{' '.join(who)}' means nothing to 'churn'")
+        found.append(Trouble(kind, at, until, who, float(str(one.get("share")))))
+    if mistakes:
+        raise BadSettings(name, mistakes)
+    return tuple(found)
