lab scale: processes of hollow gateways say what they use once a second, medians over means

Need: an empty process used 2.6 ms of a core a second for its own counting, which weighs where a voter has one alone; and a real gateway's seconds come in ticks of 10 ms, so that a median over them says little. Change: notes and counts in one line a second; medians over gateways of their means over the calm.

--- a/copperyard/lab/sites/hollow.py
+++ b/copperyard/lab/sites/hollow.py
@@ -37,7 +37,7 @@
 from ...interface import Ways
 from ...protocol.peers import BadFrame, Reader, read_hello
 
-FLUSH, LOOK = 0.2, 0.25  # s between lines of notes, and between looks at how late this process runs
+FLUSH, LOOK = 1.0, 0.5  # s between lines of notes and counts, and between looks at how late this process runs
 USED = 0.4  # of its hosts' room is what a zone's viewers ask for
 WAVE = 0.2  # by which part of it a front's demand goes up and down
 SPAN = 40.0  # s of such a wave
@@ -257,6 +257,10 @@
     def note(self, name: str, kind: str, *words: object) -> None:
         self.notes.append([round(time.monotonic(), 4), name, kind, *words])
 
+    def _noted(self) -> list[list[object]]:
+        notes, self.notes = self.notes, []
+        return notes
+
     async def run(self, orders: trio.abc.ReceiveStream, out: trio.abc.SendStream) -> None:
         """Until the orders end, or nobody reads."""
         async with trio.open_nursery() as nursery:
@@ -298,7 +302,8 @@
                 name: {**state_of(one.neighbours.common), "links": len(one.wire.open), "most": one.wire.most,
                        "frames": one.neighbours.links.written, "heard": one.neighbours.links.taken,
                        "dropped": one.neighbours.links.dropped}
-                for name, one in self.all.items() if not one.ended.is_set()}, "events": dict(self.events)})
+                for name, one in self.all.items() if not one.ended.is_set()},
+                "events": dict(self.events), "notes": self._noted()})
 
     async def _start(self, name: str, nursery: trio.Nursery) -> None:
         before = self.all.get(name)
@@ -321,20 +326,15 @@
 
     async def _count(self, out: trio.abc.SendStream) -> None:
         """A line a second: what this process and each gateway used since its start."""
-        due, counted = trio.current_time(), trio.current_time()
+        due = trio.current_time()
         while True:
             due += FLUSH
             await trio.sleep_until(due)
-            notes, self.notes = self.notes, []
-            if notes:
-                await self._say(out, {"notes": notes})
-            if trio.current_time() - counted >= 1.0 - FLUSH / 2:
-                counted = trio.current_time()
-                lag, self.lag = self.lag, 0.0
-                await self._say(out, {
-                    "at": time.monotonic(), "cpu": time.process_time(), "rss": resident(), "lag": round(lag, 4),
-                    "bytes": {name: [one.wire.sent, one.wire.received, one.wire.most]
-                              for name, one in self.all.items() if not one.ended.is_set()}})
+            lag, self.lag = self.lag, 0.0
+            await self._say(out, {
+                "notes": self._noted(), "at": time.monotonic(), "cpu": time.process_time(), "rss": resident(),
+                "lag": round(lag, 4), "bytes": {name: [one.wire.sent, one.wire.received, one.wire.most]
+                                                for name, one in self.all.items() if not one.ended.is_set()}})
 
 
 def resident(pid: int | str = "self") -> int:
--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -339,7 +339,7 @@
                     tally.leads.append((at, name))
                 elif kind in ("failed", "defect"):
                     self.failed.append(f"{name} {kind}: {words[0]}")
-        elif "cpu" in line:
+        if "cpu" in line:
             used = {name: (sent, received) for name, (sent, received, _) in line["bytes"].items()}
             self.links_most = max([self.links_most, *(most for *_, most in line["bytes"].values())])
             if not self.stood:
@@ -720,18 +720,21 @@
         return [(samples, 1, name) for name, samples in self.used_real.items()]
 
     def _costs(self, begin: float, end: float) -> dict[str, object]:
-        """Of the calm part. Processor time: `median` and `p99` over gateways and seconds, a gateway's being its
-        process's divided by its gateways; `leader`: the mean of whoever led at the end of the calm. Bytes: sent and
-        received by a gateway, each second; null for real ones, whose sockets are not counted."""
+        """Of the calm part. Processor time of a gateway is its process's divided by its gateways: `median` over
+        gateways of their means, `p99` over gateways and seconds, `leader`: the mean of whoever led at the end of the
+        calm. Bytes, the same: sent and received by a gateway; null for real ones, whose sockets are not counted."""
         leader = self.tally.leader(end)
         processes = self._used()
         cpu = [(rate, count) for samples, count, _ in processes for rate in rates(samples, begin, end, count)]
+        means = [(mean / count, count) for samples, count, _ in processes
+                 if (mean := mean_rate(samples, begin, end)) is not None]
         own = next((mean_rate(samples, begin, end) for samples, _, name in processes if name and name == leader), None)
         if own is None and leader in self.used_real:
             own = mean_rate(self.used_real[leader], begin, end)
         moved = {name: pairs for one in self.hollow for name, pairs in traffic(one.samples, begin, end).items()}
         both = sorted(sent + received for pairs in moved.values() for sent, received in pairs)
-        sent = sorted(out for pairs in moved.values() for out, _ in pairs)
+        mean_both = sorted(sum(a + b for a, b in pairs) / len(pairs) for pairs in moved.values() if pairs)
+        sent = sorted(sum(out for out, _ in pairs) / len(pairs) for pairs in moved.values() if pairs)
         lead = moved.get(leader or "", [])
         growth = [((inside[-1].rss - one.empty) / 1000 / len(one.names), len(one.names)) for one in self.hollow
                   if (inside := [s for s in one.samples if s.at <= end])]
@@ -739,19 +742,21 @@
         leads = [(inside[-1].rss - one.empty) / 1000 for one in self.hollow if one.names == (leader,)
                  and (inside := [s for s in one.samples if s.at <= end])]
         real = [(rate, 1) for samples in self.used_real.values() for rate in rates(samples, begin, end, 1)]
+        reals = [(mean, 1) for samples in self.used_real.values()
+                 if (mean := mean_rate(samples, begin, end)) is not None]
         memory = sorted(inside[-1].rss / 1000 for samples in self.used_real.values()
                         if (inside := [s for s in samples if s.at <= end]))
         return {
-            "cpu_ms_per_s": {"median": rounded(weighted(cpu, 0.5)), "p99": rounded(weighted(cpu, 0.99)),
+            "cpu_ms_per_s": {"median": rounded(weighted(means, 0.5)), "p99": rounded(weighted(cpu, 0.99)),
                              "leader": rounded(own), "relay": None},
-            "bytes_per_s": {"median": rounded(quantile(both, 0.5), 0) if both else None,
+            "bytes_per_s": {"median": rounded(quantile(mean_both, 0.5), 0) if mean_both else None,
                             "p99": rounded(quantile(both, 0.99), 0) if both else None,
                             "leader": rounded(sum(a + b for a, b in lead) / len(lead), 0) if lead else None,
                             "relay": None},
             "bytes_sent_per_s": {"median": rounded(quantile(sent, 0.5), 0) if sent else None,
                                  "leader": rounded(sum(a for a, _ in lead) / len(lead), 0) if lead else None},
             "control_mb": rounded(weighted(shared, 0.5)), "control_mb_leader": rounded(leads[0]) if leads else None,
-            "real_cpu_ms_per_s": {"median": rounded(weighted(real, 0.5)), "p99": rounded(weighted(real, 0.99))}
+            "real_cpu_ms_per_s": {"median": rounded(weighted(reals, 0.5)), "p99": rounded(weighted(real, 0.99))}
             if real else None,
             "real_mb": rounded(quantile(memory, 0.5)) if memory else None,
             "real_bytes_sent_per_s": rounded(self.relayed[0] / self.relayed[1] / len(self.layout.real), 0)
