--- a/copperyard/cli/lab.py
+++ b/copperyard/cli/lab.py
@@ -151,7 +151,8 @@
     from rich.console import Console
     from rich.progress import Progress
 
-    from ..lab.sites.scale import Refused, Wish, machine_room, prepare, run_scale
+    from ..lab.sites import scale as runs
+    from ..lab.sites.layout import Refused, Wish, machine_room, prepare
 
     wish = Wish(gateways, real, processes, seconds(last), seed, rate)
     place = settings
@@ -176,7 +177,7 @@
                   highlight=False, soft_wrap=True)
     with Progress(console=console, transient=True, disable=not console.is_terminal) as bar:
         task = bar.add_task("scale", total=wish.seconds)
-        result = trio.run(run_scale, site, text, layout, wish, keep,
+        result = trio.run(runs.run_scale, site, text, layout, wish, keep,
                           lambda words: console.print(words, highlight=False, soft_wrap=True),
                           lambda done: bar.update(task, completed=done))
     for words in [*result.rules_broken[:50], *result.faults[:50]]:
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -17,7 +17,7 @@
 from copperyard.cli.main import app
 from copperyard.config import BadSettings, parse
 from copperyard.gateway.net import TcpNetwork
-from copperyard.lab.sites import scale
+from copperyard.lab.sites import layout, scale
 from copperyard.lab.sites.drawn import Block, drawn_site, placed, widened
 from copperyard.lab.sites.hollow import Wire, plan_digest
 from copperyard.lab.sites.scalefaults import Trouble, read_troubles, usual_troubles
@@ -26,7 +26,7 @@
 
 ROOT = Path(__file__).parents[2]
 SITES = ROOT / "examples" / "sites.xml"
-PLENTY = scale.Room(1e6, 1 << 20, 300, 60_000)
+PLENTY = layout.Room(1e6, 1 << 20, 300, 60_000)
 COMMAND = [sys.executable, "-m", "copperyard.cli.main", "lab", "scale"]
 
 
@@ -37,8 +37,8 @@
 
 
 def prepare(gateways=40, real=4, processes=None, seconds=60.0, seed=1, text=None, faults=None, room=PLENTY):
-    wish = scale.Wish(gateways, real, processes, seconds, seed)
-    return scale.prepare(text, "site.xml", wish, faults, "faults.xml", room)
+    wish = layout.Wish(gateways, real, processes, seconds, seed)
+    return layout.prepare(text, "site.xml", wish, faults, "faults.xml", room)
 
 
 def faults(body):
@@ -82,28 +82,28 @@
 
 
 def test_real_ones_are_spread_over_zones_and_voters_are_the_last_to_be_real():
-    _, site, layout, _ = prepare(40, 10)
-    zones = [site.common.roster[name] for name in layout.real]
+    _, site, plan, _ = prepare(40, 10)
+    zones = [site.common.roster[name] for name in plan.real]
     assert [zones.count(z) for z in range(5)] == [2] * 5
-    assert not set(layout.real) & set(site.common.voters)
-    _, site, layout, _ = prepare(12, 12)
-    assert set(layout.real) == set(site.common.roster) and layout.groups == ()
+    assert not set(plan.real) & set(site.common.voters)
+    _, site, plan, _ = prepare(12, 12)
+    assert set(plan.real) == set(site.common.roster) and plan.groups == ()
 
 
 def test_each_hollow_voter_has_a_process_of_its_own_and_all_others_share_as_many_as_were_asked_for():
-    _, site, layout, takes = prepare(100, 4, processes=3)
-    assert layout.groups[:5] == tuple((name,) for name in site.common.voters)
-    assert [len(group) for group in layout.groups[5:]] == [31, 31, 29]
-    assert sorted(layout.hollow + layout.real) == sorted(site.common.roster)
+    _, site, plan, takes = prepare(100, 4, processes=3)
+    assert plan.groups[:5] == tuple((name,) for name in site.common.voters)
+    assert [len(group) for group in plan.groups[5:]] == [31, 31, 29]
+    assert sorted(plan.hollow + plan.real) == sorted(site.common.roster)
     assert takes.processes == 12
 
 
 def test_what_is_to_stand_still_shares_its_process_with_nobody_else():
     body = '<fault kind="pause" at="5s" for="3s" who="rack"/><fault kind="pause" at="9s" for="3s" who="z4"/>'
-    _, site, layout, _ = prepare(60, 4, faults=faults(body))
-    paused = [set(names) for _, names, _ in layout.troubles]
+    _, site, plan, _ = prepare(60, 4, faults=faults(body))
+    paused = [set(names) for _, names, _ in plan.troubles]
     assert all(paused)
-    for group in layout.groups:
+    for group in plan.groups:
         for names in paused:
             assert set(group) <= names or not set(group) & names
 
@@ -123,21 +123,21 @@
 # ---- what it refuses, with nothing started
 
 def test_a_wish_beyond_the_machine_is_told_how_many_fit_and_so_many_do():
-    room = scale.Room(3000, 20_000, 40, 1000)
-    with pytest.raises(scale.Refused, match="--gateways '5000': [0-9]+ fit this machine") as caught:
+    room = layout.Room(3000, 20_000, 40, 1000)
+    with pytest.raises(layout.Refused, match="--gateways '5000': [0-9]+ fit this machine") as caught:
         prepare(5000, 4, room=room)
     most = int(str(caught.value).split("': ")[1].split()[0])
     assert 100 < most <= 1000 and prepare(most, 4, room=room)
-    with pytest.raises(scale.Refused):
+    with pytest.raises(layout.Refused):
         prepare(most + 1, 4, room=room)
 
 
 @pytest.mark.parametrize("room", [
-    scale.Room(1000, 1 << 20, 300, 60_000), scale.Room(1e6, 300, 300, 60_000), scale.Room(1e6, 1 << 20, 10, 60_000),
-    scale.Room(1e6, 1 << 20, 300, 150)])
+    layout.Room(1000, 1 << 20, 300, 60_000), layout.Room(1e6, 300, 300, 60_000), layout.Room(1e6, 1 << 20, 10, 60_000),
+    layout.Room(1e6, 1 << 20, 300, 150)])
 def test_memory_descriptors_processes_and_the_settings_bound_it(room):
     assert prepare(600)
-    with pytest.raises(scale.Refused, match="fit this machine"):
+    with pytest.raises(layout.Refused, match="fit this machine"):
         prepare(600, room=room)
 
 
