lab scale: a run that does not come about is told in a line

Need: no free addresses, or processes that do not start, ended in a traceback. Change: the first error is told, exit 1, children ended as always. Two tests; before the change both showed the traceback.

--- a/copperyard/cli/lab.py
+++ b/copperyard/cli/lab.py
@@ -177,9 +177,19 @@
                   highlight=False, soft_wrap=True)
     with Progress(console=console, transient=True, disable=not console.is_terminal) as bar:
         task = bar.add_task("scale", total=wish.seconds)
-        result = trio.run(runs.run_scale, site, text, layout, wish, keep,
-                          lambda words: console.print(words, highlight=False, soft_wrap=True),
-                          lambda done: bar.update(task, completed=done))
+        failed = ""
+        try:
+            result = trio.run(runs.run_scale, site, text, layout, wish, keep,
+                              lambda words: console.print(words, highlight=False, soft_wrap=True),
+                              lambda done: bar.update(task, completed=done))
+        except* (OSError, RuntimeError, trio.TooSlowError) as group:
+            first: BaseException = group
+            while isinstance(first, BaseExceptionGroup):
+                first = first.exceptions[0]
+            failed = f"the run did not come about: {type(first).__name__} {first}"
+    if failed:
+        typer.echo(failed, err=True)
+        raise typer.Exit(1)
     for words in [*result.rules_broken[:50], *result.faults[:50]]:
         typer.echo(words, err=True)
     typer.echo(json.dumps(result.figures))
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -17,7 +17,7 @@
 from copperyard.cli.main import app
 from copperyard.config import BadSettings, parse
 from copperyard.gateway.net import TcpNetwork
-from copperyard.lab.sites import layout, scale
+from copperyard.lab.sites import drawn, layout, scale
 from copperyard.lab.sites.drawn import Block, drawn_site, placed, widened
 from copperyard.lab.sites.hollow import Wire, plan_digest
 from copperyard.lab.sites.scalefaults import Trouble, read_troubles, usual_troubles
@@ -197,6 +197,21 @@
         prepare(20, text=text)
 
 
+def test_a_run_that_finds_no_addresses_says_so_in_a_line(monkeypatch):
+    monkeypatch.setattr(drawn, "BLOCKS", range(0))
+    found = CliRunner().invoke(app, ["lab", "scale", "--gateways", "12"])
+    assert isinstance(found.exception, SystemExit) and found.exit_code == 1
+    assert "no block of loopback addresses is free" in found.output.splitlines()[-1]
+    assert len(found.output.splitlines()) == 2  # what it takes is told first
+
+
+def test_a_run_whose_processes_do_not_start_says_so_in_a_line(monkeypatch):
+    monkeypatch.setattr(sys, "executable", "/bin/false")
+    found = CliRunner().invoke(app, ["lab", "scale", "--gateways", "6", "--real", "0"])
+    assert isinstance(found.exception, SystemExit) and found.exit_code == 1
+    assert "a process of 1 hollow gateways ended by itself" in found.output.splitlines()[-1]
+
+
 def test_a_hollow_process_refuses_settings_of_other_gateways(tmp_path):
     (tmp_path / "site.xml").write_bytes(settings(12))
     other = parse(settings(13)).common.fleet.hex()
