lab scale: hollow gateways start in the order of the orders

Need: the short form counted 111 of 118 gateways once (load 20 on eight cores): a process that ran late read 'start' and 'tell' together and answered before those that it was to start did. Change: a start is carried out before the next order is looked at. The test fails with the starts in tasks of their own.

--- a/copperyard/lab/sites/hollow.py
+++ b/copperyard/lab/sites/hollow.py
@@ -285,8 +285,8 @@
     async def _obey(self, order: dict[str, Any], nursery: trio.Nursery, out: trio.abc.SendStream) -> None:
         what = order["do"]
         if what == "start":
-            for name in order["names"]:
-                nursery.start_soon(self._start, name, nursery)
+            for name in order["names"]:  # one after another: an order that follows finds them started
+                await self._start(name, nursery)
         elif what == "kill":
             for name in order["names"]:
                 if name in self.all:
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -221,6 +221,36 @@
     assert found.returncode == 2 and len(lines) == 1 and "settings of other gateways" in lines[0] and other in lines[0]
 
 
+def test_orders_are_carried_out_one_after_another(tmp_path):
+    """Started, killed and started again in one breath, voters among them: all live, none twice."""
+    block = Block()
+    text = drawn_site(12, 1)
+    names = [str(g.get("name")) for g in etree.fromstring(text).iterfind("gateways/gateway")]
+    text = placed(text, {name: block.address(n) for n, name in enumerate(names)})
+    (tmp_path / "site.xml").write_bytes(text)
+    process = subprocess.Popen([sys.executable, "-m", "copperyard.lab.sites.hollow", str(tmp_path / "site.xml"),
+                                str(tmp_path), "1", parse(text).common.fleet.hex()],
+                               stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    try:
+        orders = [{"do": what, "names": names} for what in ("start", "kill", "start")] + [{"do": "tell"}]
+        process.stdin.write(b"".join(json.dumps(one).encode() + b"\n" for one in orders))
+        process.stdin.flush()
+        notes = []
+        for line in process.stdout:
+            said = json.loads(line)
+            notes += said.get("notes", [])
+            if "state" in said:
+                break
+        assert sorted(said["state"]) == sorted(names)
+        kinds = [kind for _, _, kind, *_ in notes]
+        assert kinds.count("started") == 24 and "failed" not in kinds
+    finally:
+        process.stdin.close()
+        assert process.wait(timeout=60) == 0
+        process.stdout.close()
+        block.close()
+
+
 # ---- what a run comes to
 
 def tally(downs=(), begin=100.0, end=200.0):
