lab scale: a run in which a process ran late is void, and says so

Need: on a busy machine processes stood still for seconds (4.6 s in one run of 60, load 19 on eight cores), and 17 gateways were held for dead that lived: such times say nothing of the product. Change: void, where a process ran over half a second late between begin and end: from there on gateways themselves say that they stood still. Four cases tested; they fail without the bound and without the span.

--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -44,6 +44,7 @@
 MECHANISM = "flat"  # how gateways know each other: each knows all
 READY, AGREE, ANSWERS, ENDS = 60.0, 60.0, 30.0, 5.0  # s: for a process, for the first plan, for counts, for an end
 SETTLE = 3.0  # s between the first plan everywhere and the beginning
+TOO_LATE = 0.5  # s by which a process may run late before the run is void: from there on gateways say they stood still
 WATCH = (2.0, 5.0)  # s that viewers watch
 
 
@@ -90,7 +91,7 @@
         self.process: trio.Process | None = None
         self.samples: list[Used] = []
         self.empty = 0  # kB resident before the first gateway
-        self.lag = 0.0
+        self.lags: list[tuple[float, float]] = []  # when, and how late it had run since the time before
         self.links_most = 0
         self.failed: list[str] = []
         self.state: dict[str, dict[str, int]] = {}
@@ -143,7 +144,7 @@
             used = {name: (sent, received) for name, (sent, received, _) in line["bytes"].items()}
             self.links_most = max([self.links_most, *(most for *_, most in line["bytes"].values())])
             if not self.stood:
-                self.lag = max(self.lag, line["lag"])
+                self.lags.append((line["at"], line["lag"]))
             self.samples.append(Used(line["at"], line["cpu"], line["rss"], used))
         elif "state" in line:
             self.state, self.events = line["state"], line["events"]
@@ -495,6 +496,8 @@
         if histories != 1:
             self.faults.append(f"{histories} histories of plans")
         calm = tally.begin + min((t.at for t, *_ in self.layout.troubles), default=wish.seconds)
+        lag = max((late for one in self.hollow for at, late in one.lags if tally.begin <= at <= tally.end + 1),
+                  default=0.0)
         figures: dict[str, object] = {
             "gateways": wish.gateways, "real": len(self.layout.real), "hollow": len(self.layout.hollow),
             **self._costs(tally.begin, calm), **tally.dead_known(), **tally.zone_known(),
@@ -506,7 +509,8 @@
             "viewers": {key: outcome.summary.get(key) for key in ("requests", "answered", "played", "refused",
                                                                   "over_cap")} if self.layout.real else None,
             "lag_ms": {"parent": round(1000 * self.lag.most, 1),
-                       "hollow": round(1000 * max((one.lag for one in self.hollow), default=0.0), 1)},
+                       "hollow": round(1000 * lag, 1)},
+            "void": max(self.lag.most, lag) > TOO_LATE,
             "processes": len(self.hollow) + len(self.layout.real), "seed": wish.seed, "for_s": wish.seconds,
             "mechanism": MECHANISM, "faults": self.faults[:20]}
         broken = [f"rule {b.rule} broken at {b.time / 1e9:.3f} s by {b.front}: {b.text}" for b in outcome.breaks]
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -337,6 +337,21 @@
     assert plan_digest(fields) == plan_digest(line) != plan_digest({**fields, "z1": "closed 0.00"})
 
 
+@pytest.mark.parametrize(("lags", "void"), [
+    ([], False), ([(110.0, 0.4), (150.0, 0.5)], False), ([(99.0, 3.0), (202.0, 3.0)], False), ([(150.0, 0.6)], True)])
+def test_a_run_in_which_a_process_ran_late_between_begin_and_end_is_void(lags, void, tmp_path):
+    text, site, plan, _ = prepare(12, 0)
+    block = Block()
+    try:
+        run = scale.Scale(site, text, layout.regions_of(text), plan, layout.Wish(12, 0, None, 60.0, 1), tmp_path, block,
+                          lambda words: None, lambda done: None)
+    finally:
+        block.close()
+    run.tally.begin, run.tally.end = 100.0, 200.0
+    run.hollow[0].lags = lags
+    assert run._result().figures["void"] is void
+
+
 def test_what_processes_used_is_told_by_gateway_and_second():
     samples = [Used(10.0, 1.0, 0, {"a": (0, 0)}), Used(11.0, 1.1, 0, {"a": (100, 50)}),
                Used(13.0, 1.5, 0, {"a": (20, 10)}), Used(14.0, 2.5, 0, {"a": (40, 30)})]
