--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -96,6 +96,7 @@
         self.address = ""
         self._outs = _Outs(name for name in addresses if name != me)
         self._in: dict[str, tuple[int, int, trio.CancelScope]] = {}  # life and number of the newest, by sender
+        self.written = self.taken = 0  # frames, since the start
         self._number = 0
         self._new = 0
         self._nursery: trio.Nursery | None = None
@@ -172,6 +173,7 @@
                     continue
                 written.append(trio.current_time())
                 await send_all(stream, frame)
+                self.written += 1
 
         async def count() -> None:
             kept, counted = b"", 0
@@ -265,6 +267,7 @@
         while True:
             while bodies:
                 self.heard(sender, self.codec.read(bodies.popleft()))
+                self.taken += 1
                 counted += 1
                 if not owed:
                     owed = _COUNT.pack(counted & 0xFFFFFFFF)
