--- a/copperyard/config/common.py
+++ b/copperyard/config/common.py
@@ -26,7 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class CommonPlan:
-    """What the gateways of a site decide in common, and how they find each other. `listen` and `reach`: where each
+    """What the gateways of a site decide in common, and how they find each other. `cells`: who knows whom;
+    `listen` and `reach`: where each
     gateway's links listen, and where the others dial; `fleet`: a digest of what all have to agree on."""
 
     cells: CellMap
@@ -42,6 +43,11 @@
     store: str
     fleet: bytes
 
+    @property
+    def roster(self) -> Mapping[str, int]:
+        """All gateways of the settings, with their zones' numbers."""
+        return self.cells.roster
+
     def place(self, name: str) -> CommonPlace:
         """What the gateway of that name is told."""
         return CommonPlace.of(name, self.cells, self.zones, self.voters, self.terms, self.pace, self.beat)
--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -41,7 +41,7 @@
 from .scalefaults import Trouble
 from .tally import Death, Down, Plan, Tally, Used, mean_rate, quantile, rates, rounded, traffic, weighted
 
-MECHANISM = "flat"  # how gateways know each other: each knows all
+MECHANISM = "cells"  # how gateways know each other: by name within a cell, beyond it a few contacts
 READY, AGREE, ANSWERS, ENDS = 60.0, 60.0, 30.0, 5.0  # s: for a process, for the first plan, for counts, for an end
 SETTLE = 3.0  # s between the first plan everywhere and the beginning
 TOO_LATE = 0.5  # s by which a process may run late before the run is void: from there on gateways say they stood still
