--- a/copperyard/config/common.py
+++ b/copperyard/config/common.py
@@ -27,8 +27,8 @@
 @dataclass(frozen=True, slots=True)
 class CommonPlan:
     """What the gateways of a site decide in common, and how they find each other. `cells`: who knows whom;
-    `listen` and `reach`: where each
-    gateway's links listen, and where the others dial; `fleet`: a digest of what all have to agree on."""
+    `listen` and `reach`: where each gateway's links listen, and where the others dial; `fleet`: a digest of what all
+    have to agree on."""
 
     cells: CellMap
     zones: tuple[str, ...]
--- a/copperyard/control/neighbours.py
+++ b/copperyard/control/neighbours.py
@@ -3,7 +3,7 @@
 SECOND = 1_000_000_000
 CONNECT = 2.0  # s for a connection to come up
 HELLO = 3.0  # s for a hello to come
-IDLE = 15.0  # s after which a link that says nothing is closed
+IDLE = 90.0  # s after which a link that says nothing is closed: a gateway asks each that it knows, 42 at most, by turns
 SILENT = 3.0  # s for what was written to be counted at the other end
 STALE = 3 * SECOND  # ns after which a message that did not leave is of no use
 QUEUE = 2 * 1024 * 1024  # bytes that wait for one peer: two of the longest frames
