--- a/copperyard/cli/main.py
+++ b/copperyard/cli/main.py
@@ -48,9 +48,10 @@
     if place is None:
         typer.echo(f"{path}: no gateway is named '{name}'", err=True)
         raise typer.Exit(2)
-    logs, most = Logs(log), seconds(drain)
+    logs, most, list_url = Logs(log), seconds(drain), site.list_url
 
     async def main() -> None:
+        nonlocal site
         # the machine's clock is kept in step with the others'; the difference holds as long as this process runs
         rules = site.rules_of(place.name, time.time_ns() - now())
         station = Station(place.name, place.listen, rules, site.catalogue(), site.zones,
@@ -62,6 +63,7 @@
         if site.state is not None:
             disk = FolderDisk(path.parent / site.state.folder / place.name)
             station = replace(station, disk=disk, generation=site.state.generation, accept_loss=accept_loss)
+        del site  # with the names of all gateways, of which this one needs few
         gateway = Gateway(station, TcpNetwork(), secrets.randbits(64), random.SystemRandom(), logs)
 
         async def end() -> None:
@@ -72,7 +74,7 @@
             address = await nursery.start(gateway.run)
             await nursery.start(until_told, nursery, float("inf"), end)
             peers = {"peers": gateway.neighbours.links.address} if gateway.neighbours is not None else {}
-            typer.echo(json.dumps({"event": "ready", "gateways": [f"rtsp://{address}"], "list": site.list_url,
+            typer.echo(json.dumps({"event": "ready", "gateways": [f"rtsp://{address}"], "list": list_url,
                                    **peers}))
 
     try:
--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import struct
 from collections import deque
@@ -160,6 +161,12 @@
         first = hello(Hello(self.fleet, self.me, to, self.life, self._number))
         written: deque[float] = deque()  # when each frame that is not counted yet was written
         broke: list[BaseException] = []
+        # ends when what was written first was not counted in time. (A task that looked at it from time to time cost a
+        # gateway of forty links more than all that it had to say.)
+        silent = trio.CancelScope()
+
+        def wait_for_count() -> None:
+            silent.deadline = written[0] + bounds.SILENT if written else math.inf
 
         async def write() -> None:
             await send_all(stream, first)
@@ -172,28 +179,26 @@
                         return
                     continue
                 written.append(trio.current_time())
+                wait_for_count()
                 await send_all(stream, frame)
                 self.written += 1
 
         async def count() -> None:
             kept, counted = b"", 0
-            while data := await stream.receive_some(READ):
-                out.back_off = bounds.BACK_OFF[0]
-                kept += data
-                while len(kept) >= _COUNT.size:
-                    total, kept = _COUNT.unpack_from(kept)[0], kept[_COUNT.size:]
-                    if not counted <= total <= counted + len(written):
-                        raise OSError("the peer counts what was not sent")
-                    for _ in range(total - counted):
-                        written.popleft()
-                    counted = total
-            raise OSError("closed by the peer")
-
-        async def watch() -> None:
-            while True:
-                await trio.sleep(bounds.SILENT / 4)
-                if written and trio.current_time() - written[0] > bounds.SILENT:
-                    raise _Silent("nothing is counted")
+            with silent:
+                while data := await stream.receive_some(READ):
+                    out.back_off = bounds.BACK_OFF[0]
+                    kept += data
+                    while len(kept) >= _COUNT.size:
+                        total, kept = _COUNT.unpack_from(kept)[0], kept[_COUNT.size:]
+                        if not counted <= total <= counted + len(written):
+                            raise OSError("the peer counts what was not sent")
+                        for _ in range(total - counted):
+                            written.popleft()
+                        counted = total
+                    wait_for_count()
+                raise OSError("closed by the peer")
+            raise _Silent("nothing is counted")
 
         async def guarded(task: Callable[[], object], scope: trio.CancelScope) -> None:
             try:
@@ -203,7 +208,7 @@
             scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for task in (write, count, watch):
+            for task in (write, count):
                 nursery.start_soon(guarded, task, nursery.cancel_scope)
         if any(isinstance(error, _Silent) for error in broke):
             self.log("link silent", {"to": to})
