Shards: flat rendezvous keeps one choice a shard and draws the dead's again

Need: three choices a shard took three times as long at true size and moved nothing else. Change: one choice is kept; results of scale runs are taken in with their keys.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -80,11 +80,16 @@
        ("flat", "cells", "jump", "bounded")},
     **{f"scale.{way}.{clock}": (
         "cpu_ms_per_s.median", "cpu_ms_per_s.p99", "cpu_ms_per_s.leader", "cpu_ms_per_s.relay", "bytes_per_s.median",
-        "bytes_per_s.leader", "control_mb", "dead_known_s", "zone_known_s", "change_in_force_s.last", "links_most")
+        "bytes_per_s.leader", "control_mb", "dead_known_s", "zone_known_s", "zone_in_force_s",
+        "change_in_force_s.last", "links_most")
        for way in ("flat", "cells") for clock in ("virtual", "sockets")},
     "probe.flat": ("cpu_ms_per_s", "zone_hear_ms", "rumours_wait_s", "leader_frames_per_s", "leader_kb_per_s",
                    "roster_mb")}
 SCALE = ("gateways", "cpu_ms_per_s", "bytes_per_s")  # what a result of a scale run has to have
+# of a scale run's keys, what it was told and not what it found; `load` goes into the note
+TELLS = ("gateways", "size", "voters", "loss", "delay_ms", "cores", "load", "python", "processes", "for_s", "virtual_s",
+         "real_s", "faults", "played")
+TABLE = 12  # an object of more names than this is a listing: its count and sum are kept
 TOLD = {"commit": str, "command": str, "machine": str, "at": str, "note": str, "trial": bool, "seed": int}
 
 
@@ -246,7 +251,10 @@
     """Numbers of nested objects by dotted names; null is what was not measured; a list is raw, its median the value."""
     for key, value in found.items():
         name = before + key
-        if isinstance(value, Mapping):
+        if isinstance(value, Mapping) and len(value) > TABLE:
+            counts = [number(f"{where}: {name}.{one}", n) for one, n in value.items() if isinstance(n, int | float)]
+            into[name + ".names"], into[name + ".sum"] = len(value), sum(counts)
+        elif isinstance(value, Mapping):
             flatten(where, value, into, raw, name + ".")
         elif isinstance(value, bool):
             into[name] = int(value)
@@ -284,19 +292,35 @@
             if value not in known:
                 raise Bad(f"{where}: {key}: {short(value)}: one of {', '.join(known)}")
         run |= {"what": f"scale.{mechanism}.{clock}", "size": found["gateways"], "seed": found.get("seed", 0)}
+        run["command"] = (f"python -m benchmarks.scale {found['gateways']} --seed {run['seed']}" if clock == "virtual"
+                          else f"copperyard lab scale --gateways {found['gateways']} --real {found.get('real', 0)}"
+                          f" --seed {run['seed']}")
         run |= {key: found[key] for key in TOLD if key in found}
-        kept = {key: value for key, value in found.items() if key not in TOLD and key not in ("gateways", "size")}
-        if isinstance(rules := kept.get("rules"), list):
-            kept["rules"] = not rules  # a list of broken rules: they hold where it is empty
+        if isinstance(run.get("commit"), str):
+            run["commit"] = run["commit"].replace("-dirty", "+")
+        if "load" in found:
+            run["note"] = f"a shared machine: load average {found['load']} at the end; {run['note']}".rstrip("; ")
+        if found.get("stopped"):
+            run["note"] = f"stopped: {found['stopped']}; {run['note']}".rstrip("; ")
+        kept = {key: value for key, value in found.items() if key not in TOLD and key not in TELLS}
+        if isinstance(rules := kept.get("rules"), list | str):
+            kept["rules"] = rules in ([], "held")  # a list of broken ones, or words
         flatten(where, kept, run["values"], run["raw"])
     for key, kind in TOLD.items():
         if key in run and not isinstance(run[key], kind):
             raise Bad(f"{where}: {key}: {short(run[key])}: of another type than {kind.__name__}")
-    run = dict(fill) | run
+    run = dict(fill) | {key: value for key, value in run.items() if value != "" or key not in fill}
     sound(where, run)
     return run
 
 
+def ended(path: Path, here: bool) -> dict[str, str]:
+    """When a result's file was last written, for one that does not tell its date."""
+    if not here or not path.exists():
+        return {}
+    return {"at": datetime.fromtimestamp(path.stat().st_mtime, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")}
+
+
 def result_of(path: Path) -> object:
     """The JSON object of a file, or that of its last line. Bad where there is none."""
     try:
@@ -581,7 +605,7 @@
                 between = f"{one(min(edges))} to {one(max(edges))}" if edges else "one seed"
                 tried = ", ".join(one(100 * found.left_out[key]) for key in FORMS)
                 bad = " **no form fits**" if found.residue > LOOSE else ""
-                rows.append(f"| `{code(what)}` {name} | {found.form} | {form} | {between} | {one(100 * found.residue)}%"
+                rows.append(f"| `{code(what)}` `{name}` | {found.form} | {form} | {between} | {one(100 * found.residue)}%"
                             f"{bad} | {tried} | {', '.join(one(size) for size in found.sizes)} |")
         return rows
 
@@ -607,7 +631,7 @@
                     text += f", came {Value(real, sources=source).bare}: **{OPEN}{source[0]}{MIDDLE}{missed}{CLOSE}**"
                 else:
                     text += ", not measured"
-                cells.append(f"{name} {text}")
+                cells.append(f"`{name}` {text}")
             mark = f"`{code(what)}@{size}`" if later else f"`{code(what)}`"
             at = Value(size, sources=(said["id"],)).bare
             rows.append(f"| `{said['id']}` {mark} at {at} | {'; '.join(cells)} |")
@@ -773,20 +797,21 @@
     parts = parser.add_subparsers(dest="part")
     adding = parts.add_parser("add")
     adding.add_argument("results", type=Path, nargs="+")
-    adding.add_argument("--here", action="store_true", help="what a result does not tell of commit, machine and date "
-                        "is that of this work tree and machine, now")
+    adding.add_argument("--here", action="store_true", help="what a result does not tell of commit and machine is "
+                        "that of this work tree and machine, its date that of its file")
     adding.add_argument("--command", default="", help="the command, where the result does not tell it")
+    adding.add_argument("--commit", default="", help="the commit, where the result does not tell it")
     saying = parts.add_parser("predict")
     saying.add_argument("--what", required=True)
     saying.add_argument("--size", type=int, required=True)
     wish = parser.parse_args(words)
     try:
         if wish.part == "add":
-            fill = {"command": wish.command} if wish.command else {}
+            fill: dict[str, str] = {}
             if wish.here:
-                at = datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
-                fill |= {"commit": commit_here(), "machine": machine_here(), "at": at}
-            runs = [as_run(path.name, result_of(path), fill) for path in wish.results]
+                fill |= {"commit": commit_here(), "machine": machine_here()}
+            fill |= {key: value for key in ("command", "commit") if (value := getattr(wish, key))}
+            runs = [as_run(path.name, result_of(path), fill | ended(path, wish.here)) for path in wish.results]
             fresh = change(wish.data, lambda records: runs)
             print(f"{fresh} of {len(runs)} runs are new")
         elif wish.part == "predict":
--- a/benchmarks/shards.py
+++ b/benchmarks/shards.py
@@ -94,19 +94,17 @@
 
 
 class Flat:
-    """Rendezvous over all gateways. The three best are kept, which a rack's loss may run through; a zone's does."""
+    """Rendezvous over all gateways. What lay on the dead is drawn again among the living; nothing else moves."""
 
     def __init__(self, shards: Words, count: int, seed: int) -> None:
         self.shards, self.count = shards, count
         self.gateways = keys(count, seed + 1000)
-        self.choices = best(shards, self.gateways, 3)
+        self.best = best(shards, self.gateways, 1)[0]
 
     def owners(self, dead: Ints) -> Ints:
         gone = np.zeros(self.count, dtype=bool)
         gone[dead] = True
-        found: Ints = self.choices[0].copy()
-        for choice in self.choices[1:]:
-            found = np.where(gone[found], choice, found)
+        found: Ints = self.best.copy()
         left = np.flatnonzero(gone[found])
         if len(left):
             living = np.flatnonzero(~gone)
