--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -219,6 +219,8 @@
             out.flush()
             os.fsync(out.fileno())
         beside.replace(path)
+    except OSError as error:
+        raise Bad(f"{path.name}: not written, as it was before: {error.strerror}") from None
     finally:
         beside.unlink(missing_ok=True)
 
@@ -599,14 +601,16 @@
                     continue
                 def one(value: float, what: str = what) -> str:
                     return Value(value, sources=(code(what),)).bare
-                form = {"flat": f"{one(found.a)}", "logarithmic": f"{one(found.a)} + {one(found.b)} ln n",
-                        "linear": f"{one(found.a)} + {one(found.b)} n"}[found.form]
+                sign = "-" if found.b < 0 else "+"
+                form = one(found.a) + {"flat": "", "logarithmic": f" {sign} {one(abs(found.b))} ln n",
+                                       "linear": f" {sign} {one(abs(found.b))} n"}[found.form]
                 edges = [b if found.form != "flat" else a for a, b in found.spread]
                 between = f"{one(min(edges))} to {one(max(edges))}" if edges else "one seed"
                 tried = ", ".join(one(100 * found.left_out[key]) for key in FORMS)
                 bad = " **no form fits**" if found.residue > LOOSE else ""
-                rows.append(f"| `{code(what)}` `{name}` | {found.form} | {form} | {between} | {one(100 * found.residue)}%"
-                            f"{bad} | {tried} | {', '.join(one(size) for size in found.sizes)} |")
+                left = f"{one(100 * found.residue)}%{bad}"
+                rows.append(f"| `{code(what)}` `{name}` | {found.form} | {form} | {between} | {left} | {tried} | "
+                            f"{', '.join(one(size) for size in found.sizes)} |")
         return rows
 
     def predictions(self) -> list[str]:
