Viewers' side: what does not fit ends a run in one line, also out of trio's groups

Need: a refusal for good ended the command with a traceback. Change: one line and exit 2; a test with a listener that hangs up.

--- a/benchmarks/viewers.py
+++ b/benchmarks/viewers.py
@@ -367,6 +367,13 @@
     await trio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
 
 
+def unfit(error: BaseException) -> Unfit | None:
+    """What did not fit, where that is what ended a run; trio hands it on in groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error if isinstance(error, Unfit) else None
+
+
 def measure(what: str, size: int, seed: int) -> dict[str, Any]:
     """One run. Unfit where it does not fit this machine."""
     if what == "delivery":
@@ -403,8 +410,10 @@
     wish = parser.parse_args(words)
     try:
         found = json.dumps(measure(wish.what, wish.size, wish.seed))
-    except Unfit as error:
-        print(error, file=sys.stderr)
+    except (Unfit, BaseExceptionGroup) as error:
+        if (why := unfit(error)) is None:
+            raise
+        print(why, file=sys.stderr)
         sys.exit(2)
     if wish.keep is not None:
         wish.keep.write_text(found + "\n")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,9 +14,11 @@
 
 import numpy as np
 import pytest
+import trio
 
 from benchmarks import capacity, shards, viewers
 from benchmarks.capacity import CLOSE, MIDDLE, OPEN, Bad, Book, Value, as_run, fit, main
+from copperyard.gateway.net import TcpNetwork
 
 ROOT = Path(__file__).resolve().parent.parent
 RESULT: dict[str, Any] = {
@@ -434,6 +436,29 @@
             assert "_gateway" not in Path(f"/proc/{pid}/cmdline").read_text()
 
 
+def test_a_viewer_that_is_always_refused_ends_the_run_in_words(monkeypatch):
+    monkeypatch.setattr(viewers, "TRIES", 2)
+    came = []
+
+    async def play() -> None:
+        listener = await TcpNetwork().listen("127.0.0.1:0")
+
+        async def close() -> None:
+            while True:
+                came.append(await listener.accept())
+                came[-1].close()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(close)
+            await viewers.many(1, viewers.Crowd(listener.address).open)
+
+    with pytest.raises(BaseExceptionGroup) as caught:
+        trio.run(play)
+    assert str(viewers.unfit(caught.value)) == "viewer 0: 0: refused 2 times"
+    assert len(came) == 2
+    assert viewers.unfit(BaseExceptionGroup("", [OSError()])) is None
+
+
 @pytest.mark.parametrize("way", ["flat", "cells", "jump"])
 def test_only_shards_of_the_dead_move(way, place):
     found = shards.measure(way, 100, 5000, 1)
