--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -65,6 +65,7 @@
 @pytest.fixture
 def place(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Place:
     monkeypatch.setattr(capacity, "commit_here", lambda: "0123abc")
+    monkeypatch.setattr(viewers, "commit", lambda: "0123abc")
     return Place(tmp_path)
 
 
