Capacity: listings of a scale run are kept as their count and sum

Need: the virtual run tells messages by kind and what each container holds, dozens of names a run. Change: such listings are kept as count and sum.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -307,6 +307,7 @@
          "cpu_ms_per_s": {"median": 1.5, "p99": 2.0, "leader": 30, "relay": None}, "bytes_per_s": {"median": 1800},
          "control_mb": 0.5, "false_deaths": 0, "zone_known_s": None, "rules": "held", "histories": 1, "load": 9.5,
          "delay_ms": [1, 60], "played": ["calm"], "stopped": None, "held": {f"k{n}": n for n in range(20)},
+         "kinds": {"Ping": [7, 9]}, "week_grown": {"a": [1, 2], "b": [1, 3]},
          "commit": "0123abc-dirty"}
 
 
@@ -317,6 +318,7 @@
     assert (run["what"], run["size"], run["seed"], run["commit"]) == ("scale.cells.virtual", 250, 3, "0123abc+")
     values = run["values"]
     assert values["cpu_ms_per_s.median"] == 1.5 and values["rules"] == 1 and values["held.sum"] == 190
+    assert values["week_grown.names"] == 2 and values["kinds.names"] == 1 and run["raw"] == {}
     assert "zone_known_s" not in values and "voters" not in values and "delay_ms" not in values
     assert "load average 9.5" in run["note"]
 
