--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -300,6 +300,8 @@
         run["command"] = (f"python -m benchmarks.scale {found['gateways']} --seed {run['seed']}" if clock == "virtual"
                           else f"copperyard lab scale --gateways {found['gateways']} --real {found.get('real', 0)}"
                           f" --seed {run['seed']}")
+        if clock == "virtual" and isinstance(played := found.get("played"), list) and played:
+            run["command"] += " --faults " + " ".join(map(str, played))
         run |= {key: found[key] for key in TOLD if key in found}
         if isinstance(run.get("commit"), str):
             run["commit"] = run["commit"].replace("-dirty", "+")
@@ -675,7 +677,7 @@
         found: dict[str, str] = {}
         for one in self.records:
             if one["kind"] == "run":
-                bare = re.sub(r" --seed \d+", "", one["command"]).replace(f" {one['size']}", " N")
+                bare = re.sub(r" --seed \d+| --faults .*", "", one["command"]).replace(f" {one['size']}", " N")
                 found.setdefault(code(one["what"]), bare)
         return [f"`{key}`: `{found[key]}`" for key in sorted(found)]
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -321,6 +321,7 @@
     assert values["week_grown.names"] == 2 and values["kinds.names"] == 1 and run["raw"] == {}
     assert "zone_known_s" not in values and "voters" not in values and "delay_ms" not in values
     assert "load average 9.5" in run["note"]
+    assert run["command"] == "python -m benchmarks.scale 250 --seed 3 --faults calm"
 
 
 @pytest.mark.parametrize("more, what", [
