--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -110,9 +110,12 @@
                 self._nursery = nursery
                 self.address = listener.address
                 task_status.started(listener.address)
-                await self._accept(listener)
+                try:
+                    await self._accept(listener)
+                finally:
+                    # before the nursery closes: whoever sends while all is cancelled would find it closed
+                    self._nursery = None
         finally:
-            self._nursery = None
             listener.close()
 
     @property
@@ -216,14 +219,15 @@
     # ---- listening
 
     async def _accept(self, listener: Listener) -> None:
-        assert self._nursery is not None
+        nursery = self._nursery
+        assert nursery is not None
         while True:
             stream = await listener.accept()
             if self._new >= bounds.NEW:
                 stream.close()
                 continue
             self._new += 1
-            self._nursery.start_soon(self._listen, stream)
+            nursery.start_soon(self._listen, stream)
 
     async def _listen(self, stream: Stream) -> None:
         reader, bodies = Reader(), deque[bytes]()
