--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -501,7 +501,7 @@
         figures: dict[str, object] = {
             "gateways": wish.gateways, "real": len(self.layout.real), "hollow": len(self.layout.hollow),
             **self._costs(tally.begin, calm), **tally.dead_known(), **tally.zone_known(),
-            "false_deaths": tally.false_deaths(), "change_in_force_s": tally.change_in_force(), **tally.rejoin(),
+            "false_deaths": len(tally.falsely_dead()), "change_in_force_s": tally.change_in_force(), **tally.rejoin(),
             "links_most": max((one.links_most for one in self.hollow), default=None), "histories": histories,
             "rules": outcome.summary.get("rules"), "state": self._state(),
             "agreed_s": rounded(self.agreed), "calm_s": rounded(calm - tally.begin),
@@ -512,7 +512,7 @@
                        "hollow": round(1000 * lag, 1)},
             "void": max(self.lag.most, lag) > TOO_LATE,
             "processes": len(self.hollow) + len(self.layout.real), "seed": wish.seed, "for_s": wish.seconds,
-            "mechanism": MECHANISM, "faults": self.faults[:20]}
+            "mechanism": MECHANISM, "falsely_dead": tally.falsely_dead()[:20], "faults": self.faults[:20]}
         broken = [f"rule {b.rule} broken at {b.time / 1e9:.3f} s by {b.front}: {b.text}" for b in outcome.breaks]
         return Result(figures, list(self.faults), broken)
 
--- a/copperyard/lab/sites/tally.py
+++ b/copperyard/lab/sites/tally.py
@@ -83,11 +83,11 @@
 
     # ---- deaths
 
-    def false_deaths(self) -> int:
+    def falsely_dead(self) -> list[str]:
         """Gateways that somebody held for dead though nothing had been done to them, nor to who said so. What is told
         of a life before, or of the other side of a cut, counts for GRACE after its end."""
-        return len({death.whom for death in self.deaths if death.at >= self.begin
-                    and not any(self._excused(death, down) for down in self.downs)})
+        return sorted({death.whom for death in self.deaths if death.at >= self.begin
+                       and not any(self._excused(death, down) for down in self.downs)})
 
     def _excused(self, death: Death, down: Down) -> bool:
         if not down.at <= death.at <= down.until + GRACE:
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -263,27 +263,27 @@
 def test_a_death_is_false_unless_something_was_done_to_whom_it_names():
     one = tally([Down("kill", frozenset("a"), 120.0, 130.0)])
     one.deaths = [Death(125.0, "b", "a", True), Death(130.0 + GRACE / 2, "c", "a", False)]
-    assert one.false_deaths() == 0
+    assert len(one.falsely_dead()) == 0
     one.deaths.append(Death(110.0, "b", "a", True))
-    assert one.false_deaths() == 1
+    assert len(one.falsely_dead()) == 1
     one.deaths = [Death(131.0 + GRACE, "c", "a", False), Death(125.0, "a", "b", True), Death(99.0, "c", "d", True)]
-    assert one.false_deaths() == 2
+    assert len(one.falsely_dead()) == 2
 
 
 def test_over_a_cut_each_side_may_hold_the_other_for_dead_and_not_its_own():
     one = tally([Down("cut", frozenset("ab"), 120.0, 130.0)])
     one.deaths = [Death(125.0, "a", "c", True), Death(125.0, "c", "a", True), Death(135.0, "c", "d", False)]
-    assert one.false_deaths() == 0
+    assert len(one.falsely_dead()) == 0
     one.deaths = [Death(125.0, "a", "b", True), Death(125.0, "c", "d", True)]
-    assert one.false_deaths() == 2
+    assert len(one.falsely_dead()) == 2
 
 
 def test_who_stood_still_may_be_wrong_for_a_while():
     one = tally([Down("pause", frozenset("a"), 120.0, 130.0)])
     one.deaths = [Death(131.0, "a", "b", True)]
-    assert one.false_deaths() == 0
+    assert len(one.falsely_dead()) == 0
     one.deaths = [Death(131.0, "c", "b", False)]
-    assert one.false_deaths() == 1
+    assert len(one.falsely_dead()) == 1
 
 
 def test_a_death_is_known_when_the_last_that_lives_knows():
