Links: the counts of frames are part of the contract

Need: Links.written and Links.taken came without a test of their own. Change: the promise of order checks them over memory, TCP and the relay. With either count taken out it fails.

--- a/tests/contracts/test_links.py
+++ b/tests/contracts/test_links.py
@@ -123,6 +123,9 @@
     pair.send("c", *range(10))
     await pair.until(lambda: len(pair.numbers()) == 500 and len(pair.numbers("c")) == 10)
     assert pair.numbers() == list(range(500))
+    # and the links' own counts say so
+    await pair.until(lambda: pair.links["a"].written == 510)
+    assert (pair.links["a"].taken, pair.links["b"].taken, pair.links["c"].taken) == (0, 500, 10)
 
 
 async def large(pair, nursery):
