Cells: gateways know their cell, two delegates report for it, and entries go down by hints

Need: at 7,400 gateways each knew, heard of and reported to all others by name; the ranking in docs/design/scale.md names it as the cause behind seven of nine rows, and no change of settings can have a way before it is gone.

--- a/copperyard/gateway/peers/links.py
+++ b/copperyard/gateway/peers/links.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 import struct
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 from trio import TaskStatus
@@ -66,6 +67,21 @@
         self.size = 0
 
 
+class _Outs(dict[str, _Out]):
+    """What waits, by peer; made when a peer is first spoken to: of all that may ask a voter, few do. KeyError for a
+    name that is none of `names`."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        super().__init__()
+        self.names = frozenset(names)
+
+    def __missing__(self, name: str) -> _Out:
+        if name not in self.names:
+            raise KeyError(name)
+        out = self[name] = _Out()
+        return out
+
+
 class _Silent(OSError):
     """The peer counts nothing any more."""
 
@@ -79,8 +95,9 @@
         self.network, self.me, self.fleet, self.life = network, me, fleet, life
         self.addresses, self.codec, self.heard, self.log, self.random = addresses, codec, heard, log, rng
         self.address = ""
-        self._outs = {name: _Out() for name in addresses if name != me}
+        self._outs = _Outs(name for name in addresses if name != me)
         self._in: dict[str, tuple[int, int, trio.CancelScope]] = {}  # life and number of the newest, by sender
+        self.written = self.taken = 0  # frames, since the start
         self._number = 0
         self._new = 0
         self._nursery: trio.Nursery | None = None
@@ -93,9 +110,12 @@
                 self._nursery = nursery
                 self.address = listener.address
                 task_status.started(listener.address)
-                await self._accept(listener)
+                try:
+                    await self._accept(listener)
+                finally:
+                    # before the nursery closes: whoever sends while all is cancelled would find it closed
+                    self._nursery = None
         finally:
-            self._nursery = None
             listener.close()
 
     @property
@@ -144,6 +164,12 @@
         first = hello(Hello(self.fleet, self.me, to, self.life, self._number))
         written: deque[float] = deque()  # when each frame that is not counted yet was written
         broke: list[BaseException] = []
+        # ends when what was written first was not counted in time. (A task that looked at it from time to time cost a
+        # gateway of forty links more than all that it had to say.)
+        silent = trio.CancelScope()
+
+        def wait_for_count() -> None:
+            silent.deadline = written[0] + bounds.SILENT if written else math.inf
 
         async def write() -> None:
             await send_all(stream, first)
@@ -156,27 +182,26 @@
                         return
                     continue
                 written.append(trio.current_time())
+                wait_for_count()
                 await send_all(stream, frame)
+                self.written += 1
 
         async def count() -> None:
             kept, counted = b"", 0
-            while data := await stream.receive_some(READ):
-                out.back_off = bounds.BACK_OFF[0]
-                kept += data
-                while len(kept) >= _COUNT.size:
-                    total, kept = _COUNT.unpack_from(kept)[0], kept[_COUNT.size:]
-                    if not counted <= total <= counted + len(written):
-                        raise OSError("the peer counts what was not sent")
-                    for _ in range(total - counted):
-                        written.popleft()
-                    counted = total
-            raise OSError("closed by the peer")
-
-        async def watch() -> None:
-            while True:
-                await trio.sleep(bounds.SILENT / 4)
-                if written and trio.current_time() - written[0] > bounds.SILENT:
-                    raise _Silent("nothing is counted")
+            with silent:
+                while data := await stream.receive_some(READ):
+                    out.back_off = bounds.BACK_OFF[0]
+                    kept += data
+                    while len(kept) >= _COUNT.size:
+                        total, kept = _COUNT.unpack_from(kept)[0], kept[_COUNT.size:]
+                        if not counted <= total <= counted + len(written):
+                            raise OSError("the peer counts what was not sent")
+                        for _ in range(total - counted):
+                            written.popleft()
+                        counted = total
+                    wait_for_count()
+                raise OSError("closed by the peer")
+            raise _Silent("nothing is counted")
 
         async def guarded(task: Callable[[], object], scope: trio.CancelScope) -> None:
             try:
@@ -186,7 +211,7 @@
             scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for task in (write, count, watch):
+            for task in (write, count):
                 nursery.start_soon(guarded, task, nursery.cancel_scope)
         if any(isinstance(error, _Silent) for error in broke):
             self.log("link silent", {"to": to})
@@ -194,14 +219,15 @@
     # ---- listening
 
     async def _accept(self, listener: Listener) -> None:
-        assert self._nursery is not None
+        nursery = self._nursery
+        assert nursery is not None
         while True:
             stream = await listener.accept()
             if self._new >= bounds.NEW:
                 stream.close()
                 continue
             self._new += 1
-            self._nursery.start_soon(self._listen, stream)
+            nursery.start_soon(self._listen, stream)
 
     async def _listen(self, stream: Stream) -> None:
         reader, bodies = Reader(), deque[bytes]()
@@ -234,8 +260,8 @@
         one must not come after what the newer one brings."""
         if one.fleet != self.fleet:
             raise BadFrame(f"a gateway of another fleet, or of other settings, as {one.sender!r}")
-        if one.sender not in self._outs:
-            raise BadFrame(f"{one.sender!r} is none of the site's other gateways")
+        if one.sender not in self._outs.names:
+            raise BadFrame(f"{one.sender!r} is none of the gateways that speak to this one")
         if one.to != self.me:
             raise BadFrame(f"{one.sender!r} wants {one.to!r} here")
         before = self._in.get(one.sender)
@@ -250,6 +276,7 @@
         while True:
             while bodies:
                 self.heard(sender, self.codec.read(bodies.popleft()))
+                self.taken += 1
                 counted += 1
                 if not owed:
                     owed = _COUNT.pack(counted & 0xFFFFFFFF)
--- a/copperyard/lab/sites/simulated.py
+++ b/copperyard/lab/sites/simulated.py
@@ -19,6 +19,7 @@
 from ...control.zones.facts import Gauge
 from ...control.zones.plan import Plan, Standing, Terms
 from ...interface import Ways
+from ...membership.gateways.cells import CellMap
 from ...membership.gateways.members import Changed, Members, Pace, Say, Stood
 from ...membership.gateways.messages import Life
 from ...state.agreement.council import Council, Kept
@@ -38,14 +39,17 @@
 @dataclass(slots=True)
 class Tally:
     """What one gateway's part cost, through all its lives here: ns of this thread's processor time (`thread_time_ns`;
-    about 0.2 us a call are the measuring's own), messages, their bytes where it is weighed, and whom it sent to."""
+    about 0.2 us a call are the measuring's own) and bytes, both only while it is `weighed`; messages, whom it sent to,
+    who sent to it."""
 
+    weighed: bool = False
     spent: int = 0
     sent: int = 0
     got: int = 0
     sent_bytes: int = 0
     got_bytes: int = 0
     peers: set[str] = field(default_factory=set)
+    callers: set[str] = field(default_factory=set)
 
 
 class Front:
@@ -77,26 +81,26 @@
     # ---- what runs on the network
 
     def hear(self, now: int, sender: str, message: Any) -> None:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         self.core.hear(now, sender, message)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
 
     def wake(self, now: int) -> None:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         self.core.wake(now)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
 
     def next_wake(self) -> int:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         found = self.core.next_wake()
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
         return found
 
     def collect(self, now: int) -> list[tuple[str, Any]]:
-        begun = thread_time_ns() if self.tally is not None else 0
+        begun = thread_time_ns() if self.tally is not None and self.tally.weighed else 0
         out: list[tuple[str, Any]] = []
         for order in self.core.take():
             self._order(order, out)
@@ -112,7 +116,7 @@
                         self._order(one, out)
                 else:
                     self._order(step, out)
-        if self.tally is not None:
+        if self.tally is not None and begun:
             self.tally.spent += thread_time_ns() - begun
         return out
 
@@ -155,6 +159,8 @@
         self.terms = Terms(prices, (1.0,), (RATE,), tuple(self.sizes), **terms)
         self.roster = {f"g{z}-{n}": z for z in range(zones) for n in range(self.sizes[z])}
         self.voters = voters or (("g0-0", "g2-0", "g4-0") if zones > 4 else ("g0-0", "g1-0", "g2-0"))
+        self.cells = CellMap(self.roster, zones)
+        self._places: dict[str, CommonPlace] = {}
         self.zone_names = tuple(f"z{z}" for z in range(zones))
         self.rooms = [room] * zones
         self.demand = [asked] * zones
@@ -178,8 +184,11 @@
             self.start(name)
 
     def place(self, name: str) -> CommonPlace:
-        """What a gateway knows from its settings. All but its name is shared by all."""
-        return CommonPlace(name, self.roster, self.zone_names, self.voters, self.terms)
+        """What a gateway knows from its settings, as each works it out for itself."""
+        found = self._places.get(name)
+        if found is None:
+            found = self._places[name] = CommonPlace.of(name, self.cells, self.zone_names, self.voters, self.terms)
+        return found
 
     def time(self, name: str) -> int:
         return self.net.time_of(name) if name in self.net.nodes else self.net.now
--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -16,7 +16,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .messages import Ack, Life, Look, Message, Nothing, Ping, Rumour
@@ -32,7 +32,7 @@
 TOLD = 4.0  # a rumour goes out so many times, times the logarithm of the fleet
 ROWS = 3  # rows on one message, the own one among them
 URGENT = 4  # asked in a period besides the one whose turn it is, where a zone may be lost
-LOOKERS = 6  # of all gateways, who look for themselves when they hear of a suspicion
+LOOKERS = 6  # of those that know a gateway, who look for themselves when they hear of a suspicion
 RETRY = 10  # of so many periods one asks somebody who is dead
 MOST_COUNT = 1 << 60  # an incarnation that no life can have: one more would fit into no frame
 STOOD = 500_000_000  # ns by which this process may be late before it says that it stood still
@@ -109,12 +109,15 @@
 
 
 class Members:
-    """One gateway's view. `roster` names all gateways of the settings with their zones' numbers; `incarnation` has to
-    be above any that this gateway had before (the date in ms does; a clock set back is found out and passed)."""
+    """One gateway's view. `roster` names whom it knows, itself among them, with their zones' numbers: its cell and its
+    contacts (cells.py); `watchers` are others that know this one for a contact: they get answers, nothing is held of
+    them. `incarnation` has to be above any that this gateway had before (the date in ms does; a clock set back is found
+    out and passed)."""
 
     def __init__(self, me: str, roster: Mapping[str, int], zones: int, pace: Pace, seed: int, now: int,
-                 incarnation: int) -> None:
+                 incarnation: int, watchers: Mapping[str, int] | None = None) -> None:
         self.me, self.zone, self.pace = me, roster[me], pace
+        self.watchers = watchers if watchers is not None else {}
         self.random = random.Random(seed)
         self.incarnation = incarnation
         self.members = {name: Member(name, zone, since=now) for name, zone in roster.items() if name != me}
@@ -123,6 +126,7 @@
         self.leaving = False
         self.stood = now - 3600 * SECOND  # when this process last stood still
         self._number = 0
+        self._suspects: dict[str, Member] = {}
         self._probes: dict[int, Probe] = {}
         self._errands: dict[int, Errand] = {}
         self._order: list[str] = []
@@ -154,10 +158,22 @@
     def next_wake(self) -> int:
         times = [self._round_at, *(p.end for p in self._probes.values()),
                  *(p.ask_others for p in self._probes.values() if not p.helpers),
-                 *(m.until for m in self.members.values() if m.life is Life.SUSPECT),
+                 *(member.until for member in self._suspects.values()),
                  *(e.nothing_at for e in self._errands.values() if e.nothing_at)]
         return min(times)
 
+    def doubt(self, name: str) -> None:
+        """There is some other reason to doubt that a gateway lives: it is asked soon."""
+        member = self.members.get(name)
+        if member is not None and member.life is not Life.DEAD and name not in self._urgent:
+            self._urgent.append(name)
+
+    def tell(self, now: int, names: Sequence[str], whom: str) -> None:
+        """Ask all these at once, so that what is held of one gateway travels with each of the questions."""
+        for name in names:
+            self._rumour(whom)
+            self._ask(now, name)
+
     def leave(self, now: int) -> None:
         """A planned end: tell some at once; they tell the others."""
         self.leaving = True
@@ -185,8 +201,8 @@
                 self._say(errand.asker, Nothing(errand.number))
             if now >= errand.end:
                 del self._errands[number]
-        for member in self.members.values():
-            if member.life is Life.SUSPECT and now >= member.until:
+        for member in list(self._suspects.values()):
+            if now >= member.until:
                 self._hold(now, member, Life.DEAD, member.incarnation, self.me)
         if now >= self._round_at and not self.leaving:
             self._round_at = now + self._slow(self.pace.period)
@@ -204,9 +220,8 @@
         self.awareness = min(AWARE, self.awareness + 2)
         self._probes.clear()
         self._errands.clear()
-        for member in self.members.values():
-            if member.life is Life.SUSPECT:
-                member.until = max(member.until, now) + late
+        for member in self._suspects.values():
+            member.until = max(member.until, now) + late
         self.sight.forget(now)
 
     def _slow(self, time: int) -> int:
@@ -278,8 +293,11 @@
     # ---- hearing
 
     def hear(self, now: int, sender: str, message: Message) -> None:
-        """A message of another gateway of the roster."""
-        member = self.members[sender]
+        """A message of another gateway, known or one that knows this one."""
+        member = self.members.get(sender)
+        if member is None:
+            self._watched(now, sender, message)
+            return
         if isinstance(message, Ping | Ack | Look):
             for rumour in message.rumours:
                 self._heard(now, rumour)
@@ -302,8 +320,26 @@
         else:
             self._answered(now, sender, message)
 
+    def _watched(self, now: int, sender: str, message: Message) -> None:
+        """A watcher asks. What it says of those that are known here counts, and that it speaks at all: its zone lives.
+        One that neither knows the other says nothing to."""
+        zone = self.watchers.get(sender)
+        if zone is None or not isinstance(message, Ping | Look):
+            return
+        for rumour in message.rumours:
+            self._heard(now, rumour)
+        if isinstance(message, Look):
+            self._errand(now, sender, message)
+            return
+        self.sight.spoke(now, zone)
+        self._say(sender, Ack(message.number, self.me, self._carry(sender), self.sight.carry(self.random, ROWS)))
+
     def _errand(self, now: int, sender: str, message: Look) -> None:
-        if message.target not in self.members or len(self._errands) > 2 * len(self.members):
+        if message.target not in self.members:
+            # whom one does not know one cannot ask; but who asked is not the deaf one
+            self._say(sender, Nothing(message.number))
+            return
+        if len(self._errands) > 2 * len(self.members):
             return
         self._number += 1
         self._errands[self._number] = Errand(sender, message.number, now + self.pace.timeout * 4 // 5,
@@ -339,9 +375,8 @@
         if newer or rumour.life > member.life:
             self._hold(now, member, rumour.life, rumour.incarnation, rumour.by)
             # a few of all look for themselves: a suspicion that some share ends sooner, one that is wrong as well
-            if rumour.life is Life.SUSPECT and self.random.random() * len(self.members) < LOOKERS \
-                    and member.name not in self._urgent:
-                self._urgent.append(member.name)
+            if rumour.life is Life.SUSPECT and self.random.random() * len(self.members) < LOOKERS:
+                self.doubt(member.name)
         elif rumour.life is Life.SUSPECT and member.life is Life.SUSPECT:
             self._share(member, rumour.by)
 
@@ -349,6 +384,10 @@
         """Take up something else about a gateway, and tell others."""
         changed = life is not member.life
         member.life, member.incarnation = life, incarnation
+        if life is Life.SUSPECT:
+            self._suspects[member.name] = member
+        else:
+            self._suspects.pop(member.name, None)
         if changed or life is Life.SUSPECT:
             member.since = now
             member.accusers = {by}
@@ -379,7 +418,10 @@
         if name == self.me:
             return Rumour(self.me, Life.LEFT if self.leaving else Life.ALIVE, self.incarnation, self.me)
         member = self.members[name]
-        by = self.me if self.me in member.accusers else min(member.accusers, default=self.me)
+        # (always the same one of several: who heard of two accusers told everybody of one, and a suspicion that four
+        # shared went on to last as if one did)
+        by = self.me if self.me in member.accusers or not member.accusers else self.random.choice(
+            sorted(member.accusers))
         return Rumour(name, member.life, member.incarnation, by)
 
     def _carry(self, to: str) -> tuple[Rumour, ...]:
