--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -182,6 +182,7 @@
         self.weighed: set[str] = set()
         self.windows: list[dict[str, tuple[float, float]]] = []  # of a second each: ms, bytes (weighed ones)
         self.recording = False
+        self.found: dict[str, Any] = {}  # what a scenario knows before its end, kept where it is stopped
         self.sorts: dict[str, list[int]] = {}  # by kind of message: how many were weighed as they were sent, bytes
         self.dead_at: dict[str, dict[str, int]] = {}  # of watched ones: who held it for dead, when
         self.told: dict[tuple[str, str], int] = {}  # (voter, watched one): when reports of cells said that it is dead
@@ -416,6 +417,8 @@
             if name not in leader and led is not None and (
                     (led, name) in run.told or knows_dead(run.site.front(led).core, name)):
                 leader[name] = (now - begin) / SECOND
+                if len(leader) == len(names):
+                    run.found["dead_known_council_s"] = round(max(leader.values()), 3)
         return len(leader) == len(names) and all(
             who in run.dead_at[name] or who not in run.site.net.nodes for name in names for who in holders[name])
     run.until(known, 60)
@@ -521,7 +524,9 @@
         run.since[name] = site.net.now
     agreed = run.until(lambda: site.standing(3) is Standing.CLOSED, 60)
     epoch = run.newest()
+    run.found["zone_known_s"] = agreed
     force = run.until(lambda: run.follow(epoch), 60) if agreed is not None else None
+    run.found["zone_in_force_s"] = None if agreed is None or force is None else agreed + force
     run.step(max(0.0, 60 - (site.net.now - begin) / SECOND))
     run.recording = False
     worst, minute = run.worst(10), run.worst(len(run.windows))
@@ -693,6 +698,7 @@
         run.step(warm)
         for name in names:
             real, now = time.monotonic(), run.site.net.now
+            run.found = {}
             found = SCENARIOS[name](run, seconds)
             result |= found
             result["played"].append(name)
@@ -701,6 +707,7 @@
                 f"{json.dumps(shown)}", flush=True)
             gc.collect()
     except Stopped as stop:
+        result |= run.found
         result["stopped"] = str(stop)
         print(f"stopped: {stop}")
     except Broken as broken:
--- a/tests/common/test_scale.py
+++ b/tests/common/test_scale.py
@@ -197,3 +197,13 @@
     found = json.loads(capsys.readouterr().out.splitlines()[-1])
     assert rules in found["rules"] and found["histories"] == histories
     assert found["played"] == [] and "reached" not in found and found["cpu_ms_per_s"] is None
+
+
+def test_what_a_stopped_scenario_had_found_is_kept(capsys, monkeypatch):
+    def halted(run, seconds):
+        run.found["zone_known_s"] = 7.5
+        raise scale.Stopped("time: so it is")
+    monkeypatch.setitem(scale.SCENARIOS, "halted", halted)
+    assert scale.main(["10", "--faults", "halted"]) == 1
+    found = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert found["zone_known_s"] == 7.5 and found["stopped"] == "time: so it is" and found["played"] == []
