--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -501,5 +501,5 @@
     page = Book(records)
     found = page.f("scale.flat.virtual", "cpu_ms_per_s.leader", 7400)
     assert found.value is not None and found.value >= 2500**2 / 1000 and found.how == "already there, no form fits"
-    assert "over at the greatest size measured" in page.wall("scale.flat.virtual", "cpu_ms_per_s.leader", 500.0)
-    assert "room at the greatest size measured" in page.wall("scale.flat.virtual", "cpu_ms_per_s.leader", 1e6)
+    assert "over at the greatest size measured" in str(page.wall("scale.flat.virtual", "cpu_ms_per_s.leader", 500.0))
+    assert "room at the greatest size measured" in str(page.wall("scale.flat.virtual", "cpu_ms_per_s.leader", 1e6))
