--- a/tests/common/test_common.py
+++ b/tests/common/test_common.py
@@ -2,10 +2,14 @@
 docs/design/sites.md is a test here."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
+from copperyard.control.common import ENTRIES, Done, Send
+from copperyard.control.zones.plan import Renewed
 from copperyard.interface import Ways
+from copperyard.state.agreement.messages import Entry, Kind, News, Since
 from tests.common.helpers import MS, SECOND, Manner, Site, Standing
 
 
@@ -192,6 +196,64 @@
     assert set(site.strengths(site.roster)) == {1.0}
 
 
+def test_a_snapshot_is_made_only_when_all_that_it_stands_for_was_taken_up():
+    """A batch of committed entries is taken up one after another: its last is a new plan."""
+    site = ready()
+    name = next(n for n in site.roster if n not in site.voters)
+    core, now = site.front(name).core, site.time(name)
+    follower, plan = core.follower, core.plan
+    renewed = Entry(1, Kind.DATA, ENTRIES.body(Renewed(plan.epoch)))
+    newer = Entry(1, Kind.DATA, ENTRIES.body(replace(plan, epoch=plan.epoch + 1)))
+    count, at = 300 - len(follower.log), follower.applied
+    ask = follower.questions.ask(now, "x")
+    core.hear(now, "x", News(None, at, (renewed,) * count + (newer,), at + count + 1, "x", 0, 0, ask))
+    for step in core.take_durable():
+        if isinstance(step, Done):
+            core.applied(now, step.order)
+    assert core.plan.epoch == plan.epoch + 1
+    assert follower.snapshot.index == at + count + 1
+    assert ENTRIES.read(follower.snapshot.data).epoch == plan.epoch + 1
+
+
+def test_a_voters_age_is_counted_from_the_question_that_was_answered():
+    site = ready()
+    leader = site.leader()
+    name = next(n for n in site.voters if n != leader)
+    core, now = site.front(name).core, site.time(name)
+    asked = []
+    for at in (now, now + SECOND):
+        core.date_at = at
+        core.wake(at)
+        asked += [order.message for order in core.take()
+                  if isinstance(order, Send) and isinstance(order.message, Since)]
+    assert len(asked) == 2
+    council = core.council
+    index = council.applied
+    council.dates.index = council.dates.at = 0
+    core.hear(now + 3 * SECOND, leader, News(None, index, (), index, leader, index, SECOND, asked[0].ask))
+    assert (council.dates.index, council.dates.at) == (index, now - SECOND)
+
+
+def test_a_date_of_an_entry_that_still_waits_does_not_renew_the_plan_before_it():
+    """A newer plan lies on a slow disk. What is followed meanwhile is the older one, and its time goes on."""
+    site = ready()
+    name = next(n for n in site.roster if n not in site.voters)
+    core, now = site.front(name).core, site.time(name) + 5 * SECOND
+    follower, plan, since = core.follower, core.plan, core.book.since
+    newer = Entry(1, Kind.DATA, ENTRIES.body(replace(plan, epoch=plan.epoch + 1)))
+    at = follower.applied
+    ask = follower.questions.ask(now, "x")
+    core.hear(now, "x", News(None, at, (newer,), at + 1, "x", at + 1, 0, ask))
+    assert follower.dates.index == at + 1 and core.plan is plan
+    assert core.book.since == since < now - 2 * SECOND
+    late = since + 2 * plan.holds
+    core.hear(late, "y", Since(at, 1))  # anything: the front looks at its plan again
+    assert core.book.strength(late) == 0.0 and core.plan is plan
+    done, = (step for step in core.take_durable() if isinstance(step, Done))
+    core.applied(now, done.order)
+    assert core.plan.epoch == plan.epoch + 1 and core.book.since == now
+
+
 def storm(seed, seconds=150, **more):
     """Cuts, deaths, pauses, zones lost and back, demand that jumps; Site.check after every step."""
     rng = random.Random(seed)
--- /dev/null
+++ b/tests/control/test_cells.py
@@ -0,0 +1,339 @@
+"""A gateway's part in its cell: who is a delegate, whom it reports to, and what it does where nobody hears it."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from copperyard.control.cells import (
+    BACK,
+    CUT,
+    MISSED,
+    REPORT,
+    RESIGNED,
+    SECOND,
+    TOLD,
+    UNHEARD,
+    CellDuty,
+    Heard,
+    MemberReport,
+    Resign,
+    collectors,
+)
+from copperyard.control.zones.plan import HostsOf, Summary, Terms
+from copperyard.membership.gateways.cells import CellMap
+
+PRICES = ((0.0, 1.0, 1.0, 3.0, 3.0), (1.0, 0.0, 1.0, 3.0, 3.0), (1.0, 1.0, 0.0, 3.0, 3.0),
+          (3.0, 3.0, 3.0, 0.0, 1.0), (3.0, 3.0, 3.0, 1.0, 0.0))
+TERMS = Terms(PRICES, (1.0,), (100.0,), (60,) * 5)
+ROSTER = {f"g{z}-{n}": z for z in range(5) for n in range(60)}
+CELLS = CellMap(ROSTER, 5)
+CELL = CELLS.zones[1][0]
+RANKS = CELL.ranks()
+VOTERS = ["v1", "v2", "v3"]
+NONE = ((0, 0, 0, 0),) * 5
+
+
+def duty(name=RANKS[0], dead=(), voters=VOTERS, life=7):
+    return CellDuty(name, CELLS.place(name), TERMS, voters, life, lambda other: other not in dead, 0)
+
+
+def told(name, number=1, life=5, epoch=4, asked=NONE, zones=5):
+    hosts = tuple(HostsOf(100.0, 0.0, 1, 0, 0, 0) for _ in range(zones))
+    return MemberReport(Summary(name, life, number, epoch, (10.0,), hosts), asked)
+
+
+def sent(one, now):
+    """Whom it reports to at `now`, None where it does not."""
+    found = one.report(now, {})
+    return found[0] if found is not None else None
+
+
+# ---- who is a delegate
+
+
+def test_two_of_a_cell_are_delegates_by_rank_and_all_say_the_same():
+    for name in CELL.names:
+        one = duty(name)
+        assert one.delegates(0) == RANKS[:2]
+        assert one.serves(0) == (name in RANKS[:2])
+
+
+def test_a_delegate_that_dies_is_replaced_by_the_next_and_takes_its_place_again_when_it_lives():
+    dead = {RANKS[0]}
+    one = duty(RANKS[2], dead)
+    assert one.delegates(0) == RANKS[1:3] and one.serves(0)
+    dead.add(RANKS[1])
+    assert one.delegates(0) == RANKS[2:4]
+    dead.clear()
+    assert one.delegates(0) == RANKS[:2] and not one.serves(0)
+
+
+def test_one_that_resigns_is_replaced_for_as_long_as_it_says():
+    one = duty(RANKS[2])
+    one.resigned(SECOND, RANKS[0], Resign(RESIGNED))
+    assert one.delegates(SECOND) == RANKS[1:3] and one.serves(SECOND + RESIGNED - 1)
+    assert one.delegates(SECOND + RESIGNED) == RANKS[:2]
+
+
+def test_of_a_cell_that_has_all_resigned_two_report_all_the_same():
+    one = duty(RANKS[0])
+    for name in CELL.names:
+        one.resigned(0, name, Resign(RESIGNED))
+    assert one.delegates(1) == RANKS[:2] and one.serves(1)
+    both = duty(RANKS[2])
+    for name in RANKS[:2]:
+        both.resigned(0, name, Resign(RESIGNED))
+    assert both.delegates(1) == RANKS[2:4]
+
+
+@pytest.mark.parametrize("sender, ns", [
+    ("g1-nobody", RESIGNED), ("g0-0", RESIGNED), (RANKS[0], 0), (RANKS[0], -1), (RANKS[0], 2 * RESIGNED + 1),
+    (RANKS[0], 1 << 62)])
+def test_a_resignation_of_a_stranger_or_for_ever_is_none(sender, ns):
+    one = duty(RANKS[2])
+    one.resigned(0, sender, Resign(ns))
+    assert one.delegates(1) == RANKS[:2] and not one._resigned
+
+
+def test_whoever_is_reported_to_acts_as_a_delegate_though_it_holds_others_for_it_and_not_for_ever():
+    one = duty(RANKS[5])
+    assert sent(one, 0) is None
+    one.reported(SECOND, RANKS[6], told(RANKS[6]))
+    assert one.serves(SECOND) and sent(one, SECOND) is not None
+    assert one.delegates(SECOND) == RANKS[:2]
+    assert one.serves(SECOND + TOLD) and not one.serves(SECOND + TOLD + 1)
+
+
+def test_its_own_report_makes_nobody_a_delegate():
+    one = duty(RANKS[5])
+    one.reported(SECOND, RANKS[5], told(RANKS[5]))
+    assert not one.serves(SECOND)
+
+
+# ---- what it hears of members
+
+
+@pytest.mark.parametrize("sender, report", [
+    ("g0-0", told("g0-0")), (CELLS.zones[1][1].names[0], told(CELLS.zones[1][1].names[0])),
+    (RANKS[6], told(RANKS[7])), (RANKS[6], told(RANKS[6], asked=NONE[:4])), (RANKS[6], told(RANKS[6], asked=NONE * 2)),
+    ("g1-nobody", told("g1-nobody"))])
+def test_a_report_of_another_cell_of_anothers_name_or_of_a_wrong_shape_is_passed_over(sender, report):
+    one = duty(RANKS[5])
+    one.reported(SECOND, sender, report)
+    assert not one.serves(SECOND)
+    assert not one.book.facts.known
+
+
+def test_a_summary_for_another_number_of_zones_says_nothing_of_its_member():
+    one = duty()
+    one.reported(SECOND, RANKS[6], told(RANKS[6], zones=4, asked=((9, 9, 9, 9),) * 5))
+    _, report = one.report(SECOND, {})
+    assert report.heard == 0 and {zone.asked for zone in report.zones} == {0}
+
+
+def test_reports_that_come_twice_late_or_out_of_order_change_nothing():
+    one = duty()
+    newest = told(RANKS[6], 9, life=6, epoch=8, asked=((4, 3, 2, 1),) * 5)
+    one.reported(SECOND, RANKS[6], newest)
+    _, before = one.report(SECOND, {})
+    for other in (newest, told(RANKS[6], 8, life=6, epoch=2), told(RANKS[6], 99, life=5, epoch=1)):
+        one.reported(SECOND, RANKS[6], other)
+    _, after = one.report(SECOND, {})
+    assert replace(after, number=before.number) == before and before.heard == 1
+    assert (before.zones[0].asked, before.zones[0].reached, before.zones[0].heard, before.zones[0].late) == (4, 3, 2, 1)
+
+
+def test_the_least_epoch_of_all_members_is_reported_and_none_while_one_was_not_heard():
+    one = duty()
+    for n, name in enumerate(CELL.names[:-1]):
+        one.reported(SECOND, name, told(name, epoch=4 + n))
+    assert one.report(SECOND, {})[1].epoch == 0
+    one.reported(SECOND, CELL.names[-1], told(CELL.names[-1], epoch=90))
+    _, report = one.report(SECOND, {})
+    assert (report.heard, report.epoch) == (len(CELL.names), 4)
+    assert one.report(SECOND + TERMS.silent + 1, {})[1].epoch == 0
+
+
+def test_a_member_that_reported_and_then_does_not_is_doubted_by_a_delegate_for_a_while_only():
+    one = duty()
+    one.reported(0, RANKS[6], told(RANKS[6]))
+    assert one.missed(MISSED) == [] and one.missed(MISSED + 1) == [RANKS[6]]
+    assert one.missed(TOLD + MISSED + 1) == []
+    other = duty(RANKS[5])
+    other.reported(0, RANKS[6], told(RANKS[6]))
+    assert other.missed(TOLD + 1) == []  # it is a delegate no more
+
+
+# ---- whom it reports to
+
+
+def test_collectors_are_itself_then_those_of_its_zone_then_the_nearer():
+    voters = {"a": 0, "b": 1, "c": 1, "d": 3, "e": 4, "f": 2}
+    found = collectors("c", 1, "1.0", voters, PRICES[1])
+    assert found[0] == "c" and found[1] == "b" and set(found[2:4]) == {"a", "f"} and set(found[4:]) == {"d", "e"}
+    assert collectors("b", 1, "1.0", voters, PRICES[1])[:2] == ["b", "c"]
+    assert collectors("x", 3, "3.0", voters, PRICES[3])[:2] == ["d", "e"]
+    assert sorted(found) == sorted(voters)
+
+
+def test_310_cells_are_spread_over_the_nine():
+    """First and second delegates' first collectors, and those that follow where a voter is silent."""
+    cells = CellMap({f"g{z}-{n}": z for z in range(5) for n in range(1478)}, 5)
+    voters = {f"g{z}-{n}": z for z in range(5) for n in range(2)}
+    del voters["g4-1"]
+    assert sum(len(zone) for zone in cells.zones) == 310
+    for silent in (None, "g0-0"):
+        count = Counter()
+        for cell in (cell for zone in cells.zones for cell in zone):
+            for rank in range(2):
+                order = collectors("nobody", cell.zone, cell.key, voters, PRICES[cell.zone])
+                first = order[rank % 2]
+                count[first if first != silent else order[rank % 2 + 1]] += 1
+        mean = sum(count.values()) / (len(voters) - (silent is not None))
+        assert max(count.values()) <= 2 * mean, (silent, count)
+    for zone in range(4):
+        own = Counter(collectors("nobody", zone, cell.key, voters, PRICES[zone])[0] for cell in cells.zones[zone])
+        assert set(own) == {f"g{zone}-0", f"g{zone}-1"} and max(own.values()) <= 1.4 * len(cells.zones[zone]) / 2
+
+
+def test_the_two_delegates_begin_with_different_collectors_and_a_voter_with_itself():
+    assert sent(duty(RANKS[0]), 0) == "v1" and sent(duty(RANKS[1]), 0) == "v2"
+    one = duty(RANKS[1], voters=[RANKS[1], "v1", "v2"])
+    for n in range(20):
+        assert sent(one, n * SECOND) == RANKS[1] and one.resigns(n * SECOND) is None
+
+
+def test_without_a_word_of_its_collector_it_goes_to_the_next_at_its_first_report_after_2_5_seconds():
+    one = duty()
+    assert [sent(one, n * SECOND) for n in range(7)] == ["v1"] * 3 + ["v2"] * 3 + ["v3"]
+    assert 2 * SECOND < UNHEARD < 3 * SECOND
+
+
+def test_a_collector_that_answers_is_kept_and_one_that_stops_is_left():
+    one = duty()
+    for n in range(10):
+        to, report = one.report(n * SECOND, {})
+        assert to == "v1"
+        one.heard(n * SECOND + 5, to, Heard(report.number))
+    assert [sent(one, n * SECOND) for n in range(10, 14)] == ["v1"] * 3 + ["v2"]
+
+
+@pytest.mark.parametrize("sender, off", [("v1", 1), ("v1", -1), ("v2", 0), (RANKS[1], 0)])
+def test_a_word_of_another_report_or_of_somebody_else_does_not_count(sender, off):
+    one = duty()
+    tos = []
+    for n in range(4):
+        to, report = one.report(n * SECOND, {})
+        tos.append(to)
+        one.heard(n * SECOND + 5, sender if to == "v1" else "none", Heard(report.number + off))
+    assert tos == ["v1"] * 3 + ["v2"]
+
+
+def test_a_word_of_a_report_to_the_collector_before_does_not_hold_the_delegate_up():
+    one = duty()
+    _, report = one.report(0, {})
+    for n in (1, 2, 3):
+        assert sent(one, n * SECOND) == ("v1" if n < 3 else "v2")
+    one.heard(3 * SECOND + 5, "v1", Heard(report.number))
+    assert [sent(one, n * SECOND) for n in (4, 5, 6)] == ["v2", "v2", "v3"]
+
+
+def test_after_a_minute_it_tries_its_first_collector_again():
+    one = duty()
+    tos = []
+    for n in range(70):
+        to, report = one.report(n * SECOND, {})
+        tos.append(to)
+        if to != "v1" or n > 60:
+            one.heard(n * SECOND + 5, to, Heard(report.number))
+    back = 3 + BACK // SECOND + 1
+    assert tos == ["v1"] * 3 + ["v2"] * (back - 3) + ["v1"] * (70 - back)
+
+
+# ---- nobody hears it
+
+
+def played(one, until, hears=()):
+    """Reports, and when it resigns. `hears`: collectors that answer."""
+    tos, resigned = [], []
+    for n in range(until):
+        found = one.report(n * SECOND, {})
+        tos.append(found and found[0])
+        if found is not None:
+            if found[0] in hears:
+                one.heard(n * SECOND + 5, found[0], Heard(found[1].number))
+            if (told := one.resigns(n * SECOND)) is not None:
+                resigned.append((n, told))
+    return tos, resigned
+
+
+def test_a_delegate_that_no_collector_hears_resigns_once_and_reports_nothing_for_20_seconds():
+    one = duty()
+    tos, resigned = played(one, 28)
+    at = CUT // SECOND + 1
+    assert resigned == [(at, Resign(RESIGNED))] and len({*tos[:at + 1]}) >= 2
+    assert tos[at + 1:at + 20] == [None] * 19 and tos[at + 20] == "v1"
+    assert one.delegates(at * SECOND) == RANKS[1:3]
+
+
+def test_one_that_was_taken_for_a_delegate_by_others_is_none_either_once_it_resigned():
+    one = duty(RANKS[5])
+    for n in range(CUT // SECOND + 1):
+        one.reported(n * SECOND, RANKS[6], told(RANKS[6], n))
+        assert sent(one, n * SECOND) is not None and one.resigns(n * SECOND) is None
+    now = (CUT // SECOND + 1) * SECOND
+    assert sent(one, now) is not None and one.resigns(now) == Resign(RESIGNED)
+    assert sent(one, now + SECOND) is None
+
+
+def test_one_that_a_second_collector_hears_does_not_resign():
+    tos, resigned = played(duty(), 40, hears=("v2",))
+    assert not resigned and None not in tos
+
+
+def test_one_whose_collectors_hear_it_again_after_it_resigned_goes_on():
+    one = duty()
+    assert len(played(one, 8)[1]) == 1
+    for n in range(40, 60):
+        to, report = one.report(n * SECOND, {})
+        assert to == "v1"
+        one.heard(n * SECOND + 5, to, Heard(report.number))
+        assert one.resigns(n * SECOND) is None
+
+
+def test_one_alone_in_its_cell_does_not_resign():
+    cells = CellMap({"a": 0, "b": 1}, 2)
+    terms = Terms(((0.0, 1.0), (1.0, 0.0)), (1.0,), (100.0,), (1, 1))
+    one = CellDuty("a", cells.place("a"), terms, ["v1", "v2"], 7, lambda name: True, 0)
+    tos, resigned = played(one, 60)
+    assert not resigned and None not in tos
+
+
+def test_numbers_of_its_reports_grow_also_within_one_nanosecond():
+    one = duty()
+    numbers = [one.report(at, {})[1].number for at in (5, 5, 5, 6, REPORT)]
+    assert numbers == sorted(set(numbers))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_whatever_dies_resigns_and_comes_somebody_is_a_delegate(seed):
+    """By the view of each member: the first two that live and have not resigned, one where one has not, and where all
+    have the first two that live."""
+    rng = random.Random(seed)
+    dead, until = set(), {}
+    duties = [duty(name, dead) for name in CELL.names]
+    for n in range(200):
+        name = rng.choice(CELL.names)
+        (dead.discard if name in dead else dead.add)(name)
+        if rng.random() < 0.5:
+            until[name] = n * SECOND + RESIGNED
+            for one in duties:
+                one.resigned(n * SECOND, name, Resign(RESIGNED))
+        for one in duties:
+            living = [other for other in RANKS if other not in dead or other == one.name]
+            fit = [other for other in living if until.get(other, 0) <= n * SECOND]
+            assert one.delegates(n * SECOND) == (fit or living)[:2]
+        if len(dead) < len(CELL.names):
+            assert any(one.serves(n * SECOND) for one in duties if one.name not in dead)
