--- a/copperyard/membership/gateways/members.py
+++ b/copperyard/membership/gateways/members.py
@@ -32,6 +32,7 @@
 TOLD = 4.0  # a rumour goes out so many times, times the logarithm of the fleet
 ROWS = 3  # rows on one message, the own one among them
 URGENT = 4  # asked in a period besides the one whose turn it is, where a zone may be lost
+SHARERS = 6  # told at once: of its zone, by one that suspects a gateway first-hand; of all, by one that is suspected
 LOOKERS = 6  # of those that know a gateway, who look for themselves when they hear of a suspicion
 RETRY = 10  # of so many periods one asks somebody who is dead
 MOST_COUNT = 1 << 60  # an incarnation that no life can have: one more would fit into no frame
@@ -280,15 +281,21 @@
         member = self.members[probe.target]
         if member.life is Life.ALIVE:
             self._hold(now, member, Life.SUSPECT, member.incarnation, self.me)
-        elif member.life is Life.SUSPECT:
-            self._share(member, self.me)
-
-    def _share(self, member: Member, by: str) -> None:
-        """One more gateway suspects it first-hand."""
-        if by not in member.accusers and len(member.accusers) <= SHARED:
-            member.accusers.add(by)
-            member.until = min(member.until, member.since + self._patience(len(member.accusers) - 1))
-            self._rumour(member.name)
+        elif member.life is not Life.SUSPECT or not self._share(member, self.me):
+            return
+        # by turns it takes seconds until those that suspect it know of each other, and the suspicion lasts for them
+        near = [other.name for other in self.members.values() if other.zone == self.zone == member.zone
+                and other.life is Life.ALIVE]
+        self.tell(now, self.random.sample(near, min(len(near), SHARERS)), member.name)
+
+    def _share(self, member: Member, by: str) -> bool:
+        """One more gateway suspects it first-hand; whether that was news."""
+        if by in member.accusers or len(member.accusers) > SHARED:
+            return False
+        member.accusers.add(by)
+        member.until = min(member.until, member.since + self._patience(len(member.accusers) - 1))
+        self._rumour(member.name)
+        return True
 
     # ---- hearing
 
@@ -363,10 +370,11 @@
         if rumour.name == self.me and rumour.incarnation < MOST_COUNT:
             wrong = rumour.life is not Life.ALIVE or rumour.incarnation > self.incarnation
             if wrong and rumour.incarnation >= self.incarnation and not self.leaving:
-                # slow, or thought to be: say that this gateway lives, above what is said of it
+                # slow, or thought to be: say at once that this gateway lives, above what is said of it
                 self.incarnation = rumour.incarnation + 1
                 self.awareness = min(AWARE, self.awareness + 1)
-                self._rumour(self.me)
+                near = [member.name for member in self.members.values() if member.life is not Life.LEFT]
+                self.tell(now, self.random.sample(near, min(len(near), SHARERS)), self.me)
             return
         member = self.members.get(rumour.name)
         if member is None or not member.incarnation <= rumour.incarnation < MOST_COUNT:
