lab scale: when and where processes ran late

Need: runs of 120 and 250 were void, and nothing told at which moment. Change: the five worst lags, with the second and the size of the process.

--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -509,7 +509,7 @@
             "viewers": {key: outcome.summary.get(key) for key in ("requests", "answered", "played", "refused",
                                                                   "over_cap")} if self.layout.real else None,
             "lag_ms": {"parent": round(1000 * self.lag.most, 1),
-                       "hollow": round(1000 * lag, 1)},
+                       "hollow": round(1000 * lag, 1), "worst": self._worst_lags()},
             "void": max(self.lag.most, lag) > TOO_LATE,
             "processes": len(self.hollow) + len(self.layout.real), "seed": wish.seed, "for_s": wish.seconds,
             "mechanism": MECHANISM, "falsely_dead": tally.falsely_dead()[:20], "faults": self.faults[:20]}
@@ -576,6 +576,12 @@
                 "bytes_p99": rounded(quantile(moved, 0.99), 0) if moved else None,
                 "bytes_most": rounded(moved[-1], 0) if moved else None}
 
+    def _worst_lags(self) -> list[list[float]]:
+        """The five worst: s after the beginning, gateways of that process, ms."""
+        found = [(late, at - self.tally.begin, len(one.names)) for one in self.hollow for at, late in one.lags
+                 if at >= self.tally.begin]
+        return [[round(at, 1), count, round(1000 * late, 1)] for late, at, count in sorted(found, reverse=True)[:5]]
+
     def _state(self) -> dict[str, object]:
         """Counts of what the hollow gateways that live hold at the end, and of what they wrote."""
         held = [one for process in self.hollow for one in process.state.values()]
