lab scale: room for links as the runs showed it

Need: a wish is held against the machine by estimates that came from small trials. Change: 18 kB a link and 130 links a gateway.

--- a/copperyard/lab/sites/layout.py
+++ b/copperyard/lab/sites/layout.py
@@ -24,8 +24,8 @@
 MOST_PROCESSES = 300
 RACK = 20  # gateways of one zone that fail together
 EMPTY_MB, PARENT_MB, REAL_MB = 60, 150, 80  # a process without gateways, this one, a real gateway's
-HOLLOW_MB, ROSTER_KB, LINK_KB = 0.5, 0.6, 12.0  # a hollow one: itself, for each other, for each open link
-LINKS = 110  # open at a gateway that does not vote, in and out; a voter may have one each way with everybody
+HOLLOW_MB, ROSTER_KB, LINK_KB = 0.5, 0.6, 18.0  # a hollow one: itself, for each other, for each open link (runs)
+LINKS = 130  # open at a gateway that does not vote, in and out; a voter may have one each way with everybody
 OWN = 64  # descriptors of a process for itself
 
 
