--- a/tests/common/test_scale.py
+++ b/tests/common/test_scale.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -35,6 +36,9 @@
             assert abs(site.allowed(zone) - walked(site, zone)) < 1e-3
             most = max(most, site.allowed(zone))
     assert most > 1000
+    front = next(one for one in site.fronts() if one.ways is not None)  # what it may ask at home is nobody's matter
+    site.allow(front, Ways(front.ways.shares, tuple(1e9 if z == front.zone else 1.0 for z in range(5))))
+    assert abs(site.allowed(front.zone) - walked(site, front.zone)) < 1e-3
 
 
 @pytest.mark.parametrize("gateways", [10, 200])
@@ -58,9 +62,9 @@
     site.run(12)
     plan = site.committed[-1][1]
     assert site.allowed(3) > 1
-    none = [zone.__class__(zone.standing, 0.0, 0.0, 0.0, zone.part, zone.shares, zone.caps, zone.owed)
+    none = [replace(zone, room=0.0, own=0.0, reserve=0.0)
             for zone in plan.zones]
-    site.planned(plan.__class__(plan.epoch + 1, plan.holds, tuple(none)))
+    site.planned(replace(plan, epoch=plan.epoch + 1, zones=tuple(none)))
     site.check(site.net.now + CHECK)
     with pytest.raises(Broken):
         site.check(site.net.now + 2 * site.terms.holds * 12 // 10 + CHECK)
@@ -72,7 +76,7 @@
     plan = site.committed[-1][1]
     site.planned(plan)
     with pytest.raises(Broken, match=f"two plans of epoch {plan.epoch}"):
-        site.planned(plan.__class__(plan.epoch, plan.holds + 1, plan.zones))
+        site.planned(replace(plan, holds=plan.holds + 1))
 
 
 @pytest.mark.parametrize("voters", [3, 5, 9])
@@ -177,3 +181,29 @@
     site.net.heal()
     assert not site.net.cut("g0-0", "g1-1")
     assert site.net.now < SECOND
+
+
+@pytest.mark.parametrize("planted, rules, histories", [
+    (lambda site: site.allow(site.front("g1-1"), Ways(site.front("g1-1").ways.shares, (0.0, 0.0, 0.0, 1e9, 0.0))),
+     "of zone 3 allowed", 1),
+    (lambda site: site.planned(replace(site.committed[-1][1], holds=1)), "two plans of epoch", 2)])
+def test_a_run_in_which_a_rule_breaks_says_which_and_exits_1(planted, rules, histories, capsys, monkeypatch):
+    def broken(run, seconds):
+        run.site.net.at(run.site.net.now + MS, lambda: planted(run.site))
+        run.step(1)
+        return {"reached": True}
+    monkeypatch.setitem(scale.SCENARIOS, "broken", broken)
+    assert scale.main(["10", "--faults", "broken", "calm"]) == 1
+    found = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert rules in found["rules"] and found["histories"] == histories
+    assert found["played"] == [] and "reached" not in found and found["cpu_ms_per_s"] is None
+
+
+def test_what_a_stopped_scenario_had_found_is_kept(capsys, monkeypatch):
+    def halted(run, seconds):
+        run.found["zone_known_s"] = 7.5
+        raise scale.Stopped("time: so it is")
+    monkeypatch.setitem(scale.SCENARIOS, "halted", halted)
+    assert scale.main(["10", "--faults", "halted"]) == 1
+    found = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert found["zone_known_s"] == 7.5 and found["stopped"] == "time: so it is" and found["played"] == []
