A zone counts as lost after six silent periods, not four: a short cut does not close it

At fault: QUIET in control/common.py. Change: six periods, about what suspicions of a zone took before; the return in steps alone takes some ten.

--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -37,7 +37,8 @@
 REPORT = SECOND  # ns between reports to the delegates
 GATHER = SECOND // 4  # ns between what a voter passes on of cells' reports to whoever leads
 WATCH = 4  # periods of which a member tells whom it asked: after a loss all that it reached is out of them
-QUIET = 4  # periods (of a second at least) in which no cell of a zone was heard before it may count as lost
+QUIET = 6  # periods (of a second at least) in which no cell of a zone was heard before it may count as lost: a cut that
+# heals sooner costs less than closing the zone and bringing it back in steps, which takes some ten
 STALE = 6 * SECOND  # ns without a date after which a gateway asks the voters itself: a plan is renewed in a third of it
 RENEW = 5  # a plan is renewed so many times while it holds: an election's time has to fit into what is left
 ENTRIES = Codec({1: Plan, 2: Renewed})  # what an entry of the log holds
