Reading again: reports of another cell's gateway and impossible counts are passed over

Found on reading: a voter took a cell's report from any gateway of its zone, and few are kept a cell, so one of another cell could push out what its delegates say; counts of questions in a member's report had no bound, and a sum over 63 bits ends the delegate's part. Change: voters know each gateway's cell; counts are bounded as all others of a report. Real processes of lab scale share the writing of settings.

--- a/copperyard/config/common.py
+++ b/copperyard/config/common.py
@@ -15,10 +15,9 @@
 from ..control.zones.plan import LIVE, OTHER_REGION, SAME_REGION, Terms
 from ..membership.gateways.cells import CellMap
 from ..membership.gateways.members import Pace
-from ..state.agreement.council import Beat
+from ..state.agreement.council import MOST_VOTERS, Beat
 from .units import duration, rate_kb
 
-MOST_VOTERS = 9  # what operators of 7,400 gateways set aside for control; four of them may die
 EVERYWHERE = ("0.0.0.0", "[::]")
 
 Wrong = Callable[[etree._Element, str], None]
--- a/copperyard/control/cells.py
+++ b/copperyard/control/cells.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from ..membership.gateways.cells import DELEGATES, CellPlace, ranked
+from .zones.facts import MOST_TRIES
 from .zones.plan import CellReport, Summary, Terms
 from .zones.rollup import CellBook
 
@@ -101,8 +102,9 @@
 
     def reported(self, now: int, sender: str, report: MemberReport) -> None:
         """A member's report."""
-        if report.summary.name != sender or sender not in self.cell.names or len(report.asked) != self.zones:
-            return
+        if report.summary.name != sender or sender not in self.cell.names or len(report.asked) != self.zones \
+                or not all(0 <= count <= MOST_TRIES for row in report.asked for count in row):
+            return  # (a sum of numbers that nobody counts to would fit into no frame, and end this delegate's part)
         self._told = now if sender != self.name else self._told
         if self.book.learn(now, report.summary):
             self._seen[sender] = (now, report.asked)
--- a/copperyard/control/common.py
+++ b/copperyard/control/common.py
@@ -23,18 +23,16 @@
 from ..state.agreement.council import Apply, Beat, Council, Dates, Keep, Kept, Order, Restore, Say, Tell
 from ..state.agreement.follow import Follower, Questions, date_from
 from ..state.agreement.messages import Kind, Record
-from .cells import CellDuty, Heard, MemberReport, Resign, collectors
+from .cells import REPORT, CellDuty, Heard, MemberReport, Resign, collectors
 from .neighbours import WAITING
 from .zones.check import wrong
-from .zones.facts import Gauge
+from .zones.facts import MOST_COUNT, Gauge
 from .zones.follow import PlanBook
 from .zones.plan import CellReport, Gathered, Plan, Renewed, Terms
 from .zones.planner import Planner, View
 from .zones.rollup import CellFacts
 
 SECOND = 1_000_000_000
-MOST_COUNT = 1 << 60
-REPORT = SECOND  # ns between reports to the delegates
 GATHER = SECOND // 4  # ns between what a voter passes on of cells' reports to whoever leads
 WATCH = 4  # periods of which a member tells whom it asked: after a loss all that it reached is out of them
 QUIET = 6  # periods (of a second at least) in which no cell of a zone was heard before it may count as lost: a cut that
@@ -55,7 +53,6 @@
     Of the rest of the site it holds no names."""
 
     name: str
-    zone: int
     cells: CellPlace
     zones: tuple[str, ...]
     voters: Mapping[str, int]
@@ -69,7 +66,7 @@
         """The place of the gateway of that name in a site of these cells. KeyError for a name that is not of the
         site."""
         votes = name in voters
-        return cls(name, cells.roster[name], cells.place(name, votes), zones,
+        return cls(name, cells.place(name, votes), zones,
                    {voter: cells.roster[voter] for voter in voters}, terms, pace, beat)
 
     def peers(self) -> set[str]:
@@ -126,12 +123,12 @@
     def __init__(self, place: CommonPlace, gauge: Gauge, controller: Callable[[], Controller], kept: Kept | None,
                  seed: int, now: int, unix_ms: int, trusted: bool = False) -> None:
         self.place, self.gauge, self.controller = place, gauge, controller
-        self.zone = place.zone
+        self.zone = place.cells.zone
         self.random = random.Random(seed)
         self.members = Members(place.name, place.cells.roster, len(place.zones), place.pace,
                                self.random.getrandbits(62), now, unix_ms, place.cells.watchers)
-        self.collectors = collectors(place.name, place.zone, place.cells.cell.key, place.voters,
-                                     place.terms.prices[place.zone])
+        self.collectors = collectors(place.name, self.zone, place.cells.cell.key, place.voters,
+                                     place.terms.prices[self.zone])
         self.duty = CellDuty(place.name, place.cells, place.terms, self.collectors, unix_ms, self._alive,
                              now + int(self.random.random() * REPORT))
         self._now = now
@@ -342,7 +339,9 @@
 
     def _collect(self, now: int, sender: str, report: CellReport) -> None:
         """A cell's report by one of its delegates, where this gateway votes."""
-        if self.council is None or report.by != sender or self.place.cells.watchers.get(sender) != report.zone:
+        # one of another cell would push out what this cell's own delegates say: of these only a few are kept
+        cell = self.place.cells.numbers.get(sender)
+        if self.council is None or report.by != sender or cell != (report.zone, report.cell):
             return
         if self.facts.learn(now, report):
             self._out.append(Send(sender, Heard(report.number)))
--- a/copperyard/lab/sites/processes.py
+++ b/copperyard/lab/sites/processes.py
@@ -56,20 +56,23 @@
             assert place is not None
             place.set("url", f"http://{list_address}/hosts")
             for one in root.iterfind("gateways/gateway"):
-                other = str(one.get("name"))
-                one.set("listen", "127.0.0.1:0")
-                if self.alone:
-                    for key in ("peers", "reach", "votes"):
-                        one.attrib.pop(key, None)
-                elif other == name:
-                    one.set("peers", "127.0.0.1:0")
-                else:
-                    one.set("reach", self.relay.ports[name, other])
+                self.address(one, name, str(one.get("name")))
             common = root.find("common")
             if self.alone and common is not None:
                 root.remove(common)
             process.settings.write_bytes(etree.tostring(root))
 
+    def address(self, one: etree._Element, name: str, other: str) -> None:
+        """Where `name` listens, or finds `other`, in its own settings."""
+        one.set("listen", "127.0.0.1:0")
+        if self.alone:
+            for key in ("peers", "reach", "votes"):
+                one.attrib.pop(key, None)
+        elif other == name:
+            one.set("peers", "127.0.0.1:0")
+        else:
+            one.set("reach", self.relay.ports[name, other])
+
     async def start(self, name: str) -> None:
         """Start it; returns when it is ready. RuntimeError with what it said where it ended instead."""
         one = self.all[name]
--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -51,18 +51,10 @@
 class RealProcesses(Processes):
     """Real gateways that listen where the settings say, and find hollow ones there. They end with this process."""
 
-    def write_settings(self, list_address: str) -> None:
-        """Each one's own: they reach each other by the relay."""
-        for name, process in self.all.items():
-            root = etree.fromstring(self.text)
-            place = root.find("list")
-            assert place is not None
-            place.set("url", f"http://{list_address}/hosts")
-            for one in root.iterfind("gateways/gateway"):
-                other = str(one.get("name"))
-                if other in self.all and other != name:
-                    one.set("reach", self.relay.ports[name, other])
-            process.settings.write_bytes(etree.tostring(root))
+    def address(self, one: etree._Element, name: str, other: str) -> None:
+        """They reach each other by the relay, and all else is as the settings say."""
+        if other in self.all and other != name:
+            one.set("reach", self.relay.ports[name, other])
 
     def _begin(self, one: Process) -> IO[bytes]:
         log = self.folder / f"{one.name}.{one.starts}.log"
--- a/copperyard/membership/gateways/cells.py
+++ b/copperyard/membership/gateways/cells.py
@@ -54,12 +54,19 @@
 @dataclass(frozen=True, slots=True)
 class CellPlace:
     """What one gateway holds of the site's cells. `contacts`: names known of other zones, with their zones; `watchers`:
-    gateways that hold this one for a contact; `sizes`: (digest, members) of every cell, at voters only."""
+    gateways that hold this one for a contact; `sizes`: (digest, members) of every cell, and
+    `numbers`: the cell of every gateway, by zone, at voters only."""
 
     cell: Cell
     contacts: Mapping[str, int]
     watchers: Mapping[str, int]
     sizes: Mapping[tuple[int, int], tuple[int, int]]
+    numbers: Mapping[str, tuple[int, int]]
+
+    @property
+    def zone(self) -> int:
+        """The gateway's own."""
+        return self.cell.zone
 
     @property
     def roster(self) -> dict[str, int]:
@@ -88,6 +95,7 @@
                     self._watching.setdefault(there.key, []).append(cell)
         self.sizes = {(cell.zone, cell.number): (cell.digest, len(cell.names))
                       for cells in self.zones for cell in cells}
+        self.numbers = {name: (cell.zone, cell.number) for name, cell in self._cell_of.items()}
 
     def _cells(self, zone: int, names: Sequence[str]) -> tuple[Cell, ...]:
         count = max(1, -(-len(names) // self.size))
@@ -121,7 +129,7 @@
         contacts = self.contacts(cell)
         if votes:
             known = {other: zone for other, zone in self.roster.items() if other != name}
-            return CellPlace(cell, contacts, known, self.sizes)
+            return CellPlace(cell, contacts, known, self.sizes, self.numbers)
         watching = self._watching.get(cell.key, ()) if name in self._contacts[cell.key] else ()
         watchers = {other: one.zone for one in watching for other in one.names}
-        return CellPlace(cell, contacts, watchers, {})
+        return CellPlace(cell, contacts, watchers, {}, {})
--- a/copperyard/state/agreement/council.py
+++ b/copperyard/state/agreement/council.py
@@ -43,6 +43,7 @@
 )
 
 MS = 1_000_000
+MOST_VOTERS = 9  # four of them may die, or any of five zones; with more each decision waits for more
 BATCH = 64  # entries in one message
 BATCH_BYTES = 256 * 1024
 LOG_MOST = 256  # entries after which a snapshot is made
--- a/tests/config/test_common.py
+++ b/tests/config/test_common.py
@@ -82,3 +82,35 @@
     common = common_of(GOOD)
     assert common.lengths == (20_000_000_000,) * 2
     assert common.terms.loads == (230.0, 420.0)
+
+
+def voting(count):
+    """The example with so many voters, the first that there are; line of the last."""
+    found, marked = [], 0
+    for line in GOOD.splitlines():
+        if "<gateway " in line and "zone=" in line:
+            line = line.replace(' votes="yes"', "")
+            if marked < count:
+                marked += 1
+                line = line.replace(' peers="', ' votes="yes" peers="', 1)
+        found.append(line)
+    assert marked == count
+    return "\n".join(found).encode()
+
+
+def test_nine_may_vote_and_the_tenth_and_more_are_told():
+    assert len(common_of(voting(9).decode()).voters) == 9
+    with pytest.raises(BadSettings, match="is voter 11: more than 9"):
+        parse(voting(11))
+
+
+def test_a_site_of_more_gateways_than_the_plan_of_two_years_is_taken_and_there_is_a_bound():
+    one = '      <gateway name="more-{0}" zone="catania" listen="127.0.0.1:0" peers="127.1.{1}.{2}:7400"/>'
+    end = next(line for line in GOOD.splitlines() if "</gateways>" in line)
+
+    def text(count):
+        more = "\n".join(one.format(n, n // 200, n % 200 + 1) for n in range(count - 12))
+        return GOOD.replace(end, f"{more}\n{end}", 1).encode()
+    assert len(parse(text(7400)).gateways) == 7400
+    with pytest.raises(BadSettings, match="not expected"):
+        parse(text(16385))
--- a/tests/control/test_cells.py
+++ b/tests/control/test_cells.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -21,8 +23,11 @@
     Resign,
     collectors,
 )
+from copperyard.control.common import MESSAGES, Common, CommonPlace
+from copperyard.control.zones.facts import Gauge
 from copperyard.control.zones.plan import HostsOf, Summary, Terms
 from copperyard.membership.gateways.cells import CellMap
+from copperyard.state.agreement.council import Kept
 
 PRICES = ((0.0, 1.0, 1.0, 3.0, 3.0), (1.0, 0.0, 1.0, 3.0, 3.0), (1.0, 1.0, 0.0, 3.0, 3.0),
           (3.0, 3.0, 3.0, 0.0, 1.0), (3.0, 3.0, 3.0, 1.0, 0.0))
@@ -337,3 +342,28 @@
             assert one.delegates(n * SECOND) == (fit or living)[:2]
         if len(dead) < len(CELL.names):
             assert any(one.serves(n * SECOND) for one in duties if one.name not in dead)
+
+
+@pytest.mark.parametrize("row", [(1 << 62, 0, 0, 0), (-1, 0, 0, 0), (0, 0, 0, 1 << 41)])
+def test_questions_that_nobody_counts_to_are_no_report_and_end_nothing(row):
+    one = duty()
+    for name in CELL.names[1:]:
+        one.reported(0, name, told(name, asked=(row, *NONE[1:])))
+    _, report = one.report(SECOND, {})
+    assert report.heard == 0 and MESSAGES.body(report)
+
+
+def test_a_report_for_another_cell_than_the_senders_own_is_passed_over():
+    """Of a cell's delegates a few are kept: others that name it would push them out."""
+    place = CommonPlace.of("g0-0", CELLS, tuple("abcde"), ("g0-0", "g1-0", "g2-0"), TERMS)
+    gauge = Gauge("g0-0", 1, 5, (SECOND,), TERMS, 0)
+    nobody: Any = SimpleNamespace(servers={}, sessions={})
+    core = Common(place, gauge, lambda: nobody, Kept(), 1, 0, 1000)
+    _, report = duty().report(SECOND, {})
+    other = CELLS.zones[1][1].names[0]
+    core.hear(SECOND, other, replace(report, by=other))
+    assert not core.facts.known
+    core.hear(SECOND, RANKS[0], report)
+    assert list(core.facts.known) == [(1, 0)]
+    assert [order.message for order in core.take() if isinstance(getattr(order, "message", None), Heard)] \
+        == [Heard(report.number)]
