A notice waits for a connection that is read, not for the next session to be established

Cause, by a trace of a scratch copy: NodeCore._notify_viewer looked only at connections through which a session was established (`TRACE notify chosen=-1 connections=[(13, never established, requested)]`) and left the notice in pending_notices, which only _session_established sent. Ruled out: the host's loss was noticed in time (`host lost`, one session). Change: control/node/notices.py owns notices. Any connection whose client did something valid after it was written to counts as read and takes what waits; a notice on the limit (1 s after a release, 8 s after an end without one, less 0.3 s) goes to the connection tested last if no other is read, and stays owed until that one shows that it is read. A client that asked once gets nothing while another one reads; one whose only request was no test never does.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -13,7 +13,8 @@
 # memory: what is remembered, and what may be queued
 MAX_MOVED_VIEWERS = 4096  # viewers remembered as moved away by this front
 MAX_ENDED_SESSIONS = 2048  # ids of ended sessions, to recognise messages that crossed their end
-MAX_PENDING_NOTICES = 1024  # notices to viewers that wait for a connection that is being read
+MAX_WAITING_NOTICES = 16384  # notices to viewers that wait for a connection that is being read
+MAX_NOTICES_PER_WRITE = 256  # notices written to one connection before the next ones wait until it has taken them
 MAX_LINK_OUTBOX = 1024  # frames and set-ups queued on one connection to a host
 MAX_DATAGRAMS_PER_TURN = 64  # datagrams of the name service read in one turn
 MAX_OPEN_QUERIES = 8  # queries to the name service whose answers are still accepted
@@ -47,6 +48,15 @@
 REFUSED_TIMEOUT = 4 * SECOND  # a host without a connection that refuses for so long is dead; until then it may be full
 MAX_REDIAL_BACKOFF = 3  # factor up to which REDIAL_INTERVAL grows with each failed dial, to spare a full host
 FAILED_DIALS_THRESHOLD = 3  # consecutive failed dials from which a host counts as gone
+# the platform's limits for telling a viewer that its session is over: after the release of a host or of this node, and
+# after the end of a session whose host could not release it
+RELEASE_NOTICE_LIMIT = SECOND
+LOSS_NOTICE_LIMIT = 8 * SECOND
+NOTICE_MARGIN = 300 * MS  # before these limits, left for the way and for a process that is late
+NOTICE_CHECK_INTERVAL = 100 * MS  # between looks for overdue notices
+NOTICE_RESET_PERIOD = SECOND  # a notice written no longer than this before a reset may not have arrived
+NOTICE_RETENTION_PERIOD = 60 * SECOND  # for which an overdue notice goes on waiting for its viewer
+NOTICE_LOG_INTERVAL = 60 * SECOND  # between log lines about notices that wait
 SWEEP_INTERVAL = 500 * MS  # between checks of the viewer connections
 FIRST_REQUEST_TIMEOUT = 2 * SECOND  # without a request a connection is closed; the platform requires it within 3 s
 VIEWER_IDLE_TIMEOUT = 30 * SECOND  # a connection without requests and open set-ups is closed
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -53,6 +52,7 @@
 from ..timers import Timers
 from . import bounds
 from .links import HostState, Link, LinkState, PendingProbe
+from .notices import Notice, NoticeDelivery
 from .sessions import Attempt, Session, Viewer
 
 NOTE_KINDS = {"share": NoticeKind.SHARE, "step": NoticeKind.RUNG, "asked": NoticeKind.LINK, "rack": NoticeKind.UPLINK}
@@ -97,7 +97,9 @@
         self.hosts: dict[int, HostState] = {}
         self.viewers: dict[Viewer, None] = {}
         self.probes: dict[bytes, PendingProbe] = {}
-        self.pending_notices: deque[bytes] = deque(maxlen=bounds.MAX_PENDING_NOTICES)
+        self.notices = NoticeDelivery(
+            self.viewers, self._write_viewer, min(platform.max_held, bounds.MAX_WAITING_NOTICES)
+        )
         self.moved_viewers: dict[str, None] = {}
         self.ended_sessions: dict[bytes, HostState] = {}
         self.ready = False
@@ -139,6 +141,8 @@
         """
         if self._accept_until is None:
             self._accept_until = now + bounds.SHUTDOWN_ACCEPT_PERIOD
+            self.notices.shutting_down = True
+            self.notices.send_overdue(now)
             self.log_line(
                 "ending", open=sum(len(viewer.open_setups) for viewer in self.viewers), sessions=len(self.sessions)
             )
@@ -148,6 +152,11 @@
         """Whether a shutdown was started and no session is left."""
         return self._accept_until is not None and not self.sessions
 
+    @property
+    def pending_notices(self) -> list[bytes]:
+        """The notices that wait for a connection that is being read."""
+        return [notice.data for notice in self.notices.waiting]
+
     @property
     def has_unsent(self) -> bool:
         """Whether any message to a host waits for its connection."""
@@ -210,6 +219,8 @@
                 self._check_host(now, subject)
             elif timer == "partial":
                 self._partial_overdue(now, subject)
+            elif timer == "notices":
+                self._send_overdue_notices(now)
             elif timer == "sweep":
                 self._sweep(now)
 
@@ -236,7 +247,7 @@
             if host is not None and entry.state != ServerState.READY:
                 self._withdraw_unsent(now, host)
         for session in lost:
-            self._end_session(now, session, OutcomeCode.RESET, Cause.RESET, True)
+            self._session_lost(now, session)
         for host in gone:
             # another host may answer at this address from now on: only a connection opened before shows that
             # this host is still there
@@ -281,18 +292,24 @@
             elif isinstance(event, rtsp.Frame):
                 return self._close_viewer(now, viewer, 400, "interleaved frames are not supported")
 
-    def viewer_disconnected(self, now: int, viewer: Viewer) -> None:
-        """The connection has ended: its unanswered set-ups are abandoned, established sessions go on."""
+    def viewer_disconnected(self, now: int, viewer: Viewer, undelivered: bool = False) -> None:
+        """The connection has ended: its unanswered set-ups are abandoned, established sessions go on. `undelivered`:
+        the last bytes written to it have not arrived.
+        """
         viewer.closed = True
         self.viewers.pop(viewer, None)
         for session in list(viewer.open_setups.values()):
             self._abandon_setup(now, session)
         established, viewer.newly_established = viewer.newly_established, []
         for session in established:  # the viewer left before the answer was sent: nobody will use or end the session
-            self._end_session(now, session, OutcomeCode.CANCELLED, Cause.NORMAL, False, tell_host=True)
-        notices, viewer.notices = viewer.notices, []
-        for data in notices:  # notices that were not sent yet go to a connection that is being read
-            self._notify_viewer(None, data)
+            self._end_session(now, session, OutcomeCode.CANCELLED, Cause.NORMAL, tell_host=True)
+        self.notices.connection_ended(now, viewer, undelivered)
+        self._schedule_notices(now)
+
+    def outbox_written(self, now: int, viewer: Viewer, has_unsent: bool) -> None:
+        """What `Viewer.take_outbox` returned was written; `has_unsent`: some of it is buffered still."""
+        viewer.has_unsent = has_unsent
+        self.notices.written(now, viewer)
 
     def _close_viewer(self, now: int, viewer: Viewer, status: int, text: str) -> None:
         """Close a connection after a protocol error or a limit, with response `status` unless 0. Its open set-ups get
@@ -301,15 +318,24 @@
         self.log_line("viewer shut out", viewer=viewer.number, text=text)
         if status:
             self._send_to_viewer(viewer, viewer_protocol.encode_response(None, "", status))
-        viewer.closing = True
-        self.io_actions.write_viewers.append(viewer)
+        self._end_writing(now, viewer)
         for session in list(viewer.open_setups.values()):
             self._abandon_setup(now, session)
 
+    def _end_writing(self, now: int, viewer: Viewer) -> None:
+        """Write what was queued for a connection, but no more notices, and close it."""
+        viewer.closing = True
+        self._write_viewer(viewer)
+        self.notices.connection_ended(now, viewer, False)
+        self._schedule_notices(now)
+
+    def _write_viewer(self, viewer: Viewer) -> None:
+        self.io_actions.write_viewers.append(viewer)
+
     def _send_to_viewer(self, viewer: Viewer, data: bytes) -> None:
-        if not viewer.closed and not viewer.closing:
+        if viewer.is_open:
             viewer.outbox += data
-            self.io_actions.write_viewers.append(viewer)
+            self._write_viewer(viewer)
 
     def viewer_to_evict(self) -> Viewer | None:
         """The viewer connection that may be closed to make room: one without a request, else the one idle longest.
@@ -317,9 +343,7 @@
         """
         idle = [viewer for viewer in self.viewers if not viewer.open_setups and not viewer.has_unsent]
         return (
-            min(
-                idle, key=lambda viewer: (viewer.last_established_at >= 0, viewer.has_requested, viewer.last_request_at)
-            )
+            min(idle, key=lambda viewer: (viewer.is_read, viewer.has_requested, viewer.last_request_at))
             if idle
             else None
         )
@@ -343,17 +367,10 @@
             if not viewer.has_requested:
                 self._close_viewer(now, viewer, 408, "no request received in time")
             else:
-                viewer.closing = True
-                self.io_actions.write_viewers.append(viewer)
+                self._end_writing(now, viewer)
         self._next_sweep = now + bounds.SWEEP_INTERVAL
         self.timers.set(("sweep", None), self._next_sweep)
 
-    def _session_established(self, now: int, viewer: Viewer) -> None:
-        """A session was established through this connection, so it is being read: send the pending notices."""
-        viewer.last_established_at = now
-        while self.pending_notices:
-            self._send_to_viewer(viewer, self.pending_notices.popleft())
-
     def _handle_request(self, now: int, viewer: Viewer, request: rtsp.Request) -> None:
         viewer.last_request_at = now
         try:
@@ -368,6 +385,10 @@
             elif viewer_protocol.session_of(request) not in self.sessions_by_id:
                 raise HeaderError(454, f"{request.method} for an unknown session")
             viewer.has_requested = True
+            if viewer.was_written and not viewer.has_unsent:
+                self.notices.connection_read(now, viewer)
+            elif request.method == "OPTIONS":
+                self.notices.connection_tested(now, viewer)
         except HeaderError as error:
             self.log_line("request not taken", viewer=viewer.number, text=str(error))
             self._respond(viewer, request, error.status)
@@ -456,7 +477,7 @@
         session_request = self._session_request(now, setup, cls)
         session = self._add_session(session_request.ref, setup, viewer)
         session.attempts, session.host, session.established, session.established_at = 1, host, True, now
-        self._session_established(now, viewer)
+        self.notices.connection_read(now, viewer)
         host.sessions[session.ref] = session
         self._feed(now, CarriedSession(session_request, host.server))
         self._ensure_link(now, host)
@@ -469,7 +490,7 @@
             return self._respond(viewer, request, 200 if id in self.ended_sessions else 454)
         self._respond(viewer, request, 200)
         if session.established:
-            self._end_session(now, session, OutcomeCode.CANCELLED, cause or Cause.NORMAL, False, tell_host=True)
+            self._end_session(now, session, OutcomeCode.CANCELLED, cause or Cause.NORMAL, tell_host=True)
         else:
             self._abandon_setup(now, session)
 
@@ -575,8 +596,9 @@
             self.moved_viewers[session.setup.viewer] = None
         while len(self.moved_viewers) > bounds.MAX_MOVED_VIEWERS:
             del self.moved_viewers[next(iter(self.moved_viewers))]
-        self._notify_viewer(session.viewer, viewer_protocol.encode_redirect(session.id_text))
-        self._end_session(now, session, OutcomeCode.CANCELLED, Cause.CANCELLED, False, tell_host=True)
+        redirect = viewer_protocol.encode_redirect(session.id_text)
+        self._post_notice(now, session, redirect, now + bounds.RELEASE_NOTICE_LIMIT)
+        self._end_session(now, session, OutcomeCode.CANCELLED, Cause.CANCELLED, tell_host=True)
 
     def _probe(self, now: int, action: Action) -> None:
         assert isinstance(action, Probe)
@@ -735,7 +757,7 @@
         if host.sessions or host.links:
             self.log_line("host lost", host=host.name, sessions=len(host.sessions), listed=int(host.listed))
         for session in list(host.sessions.values()):
-            self._end_session(now, session, OutcomeCode.RESET, Cause.RESET, True)
+            self._session_lost(now, session)
         for link in [one for one in host.links if one.state is LinkState.UP]:
             self._close_link(now, link)
 
@@ -883,7 +905,7 @@
         self._answer_setup(session, 200, description)
         if session.viewer is not None:
             session.viewer.newly_established.append(session)
-            self._session_established(now, session.viewer)
+            self.notices.connection_read(now, session.viewer)
         self._feed(now, SessionOpened(session.ref, attempt.number, link.host.server, now - attempt.queued_at))
 
     def _released(self, now: int, link: Link, message: Message) -> None:
@@ -901,9 +923,14 @@
             and session.host.name == link.host.name
         ):
             code = SESSION_CODES.get(message.cause, OutcomeCode.RESET)
-            self._end_session(
-                now, session, code, message.cause, code is not OutcomeCode.CANCELLED, self._report(message)
-            )
+            notice_due = None if code is OutcomeCode.CANCELLED else now + bounds.RELEASE_NOTICE_LIMIT
+            self._end_session(now, session, code, message.cause, notice_due, self._report(message))
+
+    def _session_lost(self, now: int, session: Session) -> None:
+        """The host of an established session is gone, some time after it was last heard."""
+        last_heard = session.host.last_heard if session.host is not None else now
+        due = max(now, last_heard + bounds.LOSS_NOTICE_LIMIT)
+        self._end_session(now, session, OutcomeCode.RESET, Cause.RESET, due)
 
     def _note(self, now: int, message: Message) -> None:
         session = self.sessions_by_id.get(message.session)
@@ -964,11 +991,13 @@
         session: Session,
         code: OutcomeCode,
         cause: int,
-        notify: bool,
+        notice_due: int | None = None,
         report: Report | None = None,
         tell_host: bool = False,
     ) -> None:
-        """End an established session. `notify`: send its viewer a TEARDOWN; `tell_host`: send the host a release."""
+        """End an established session. `notice_due`: the latest time for its viewer to be sent a TEARDOWN, None if it is
+        owed none; `tell_host`: send the host a release.
+        """
         host = session.host
         if host is None or not session.established:
             return
@@ -978,27 +1007,31 @@
         self._remember_ended(session.setup.session_id, host)
         if tell_host:
             self._send_to_host(now, host, _encode_release(session.setup.session_id, cause))
-        if notify:
-            self._notify_viewer(session.viewer, viewer_protocol.encode_teardown(session.id_text, cause))
+        if notice_due is not None:
+            teardown = viewer_protocol.encode_teardown(session.id_text, cause)
+            self._post_notice(now, session, teardown, notice_due)
         self._feed(
             now,
             Outcome(session.ref, session.attempts - 1, host.server, code, now - session.established_at, True, report),
         )
         self._remove_if_unused(host)
 
-    def _notify_viewer(self, viewer: Viewer | None, data: bytes) -> None:
-        """Send a notice on the connection of a session's viewer, or on another one through which a session was
-        established; without any, it waits for the next one.
-        """
-        if viewer is None or viewer.closed or viewer.closing:
-            # no other ones: most may belong to clients that sent one request and stopped reading
-            reading = [one for one in self.viewers if one.last_established_at >= 0 and not one.closing]
-            viewer = max(reading, key=_read_likelihood) if reading else None
-        if viewer is None:
-            self.pending_notices.append(data)
-        else:
-            viewer.notices.append(data)
-            self._send_to_viewer(viewer, data)
+    def _post_notice(self, now: int, session: Session, data: bytes, limit: int) -> None:
+        """Have a notice sent to the viewer of a session, by `limit`."""
+        self.notices.post(now, Notice(data, limit - bounds.NOTICE_MARGIN), session.viewer)
+        self._schedule_notices(now)
+
+    def _schedule_notices(self, now: int) -> None:
+        """Set the timer for overdue notices, unless it is set: each run of it looks at all that wait."""
+        if not self.notices.waiting or ("notices", None) in self.timers:
+            return
+        due = self.notices.next_due(now)
+        if due is not None:
+            self.timers.set(("notices", None), min(due, now + bounds.RELEASE_NOTICE_LIMIT - bounds.NOTICE_MARGIN))
+
+    def _send_overdue_notices(self, now: int) -> None:
+        self.notices.send_overdue(now)
+        self._schedule_notices(now)
 
     def _remember_ended(self, id: bytes, host: HostState) -> None:
         self.ended_sessions.pop(id, None)
@@ -1013,8 +1046,3 @@
 
 def _encode_release(session: bytes, cause: int) -> bytes:
     return encode(MessageKind.RELEASE, session, ((Param.CAUSE, bytes((cause,))),))
-
-
-def _read_likelihood(viewer: Viewer) -> tuple[int, int]:
-    """Sort key by how likely it is that a connection is being read."""
-    return viewer.last_established_at, viewer.number
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ...protocol.node.messages import MessageKind, Param, encode
 from ...protocol.node.viewer import SetupRequest
 from ...protocol.rtsp import Connection
-from .bounds import MS, VIEWER_LIMITS
+from .bounds import MAX_NOTICES_PER_WRITE, MS, VIEWER_LIMITS
 from .links import HostState
+from .notices import Notice
 
 if TYPE_CHECKING:
     from .links import Link
@@ -20,10 +22,10 @@
     """A connection of a viewer.
 
     `open_setups` are its set-ups without an answer, `last_request_at` the time of its last request, `has_requested`
-    whether a valid one ever came. `last_established_at` is when a session was last established through it, -1 for
-    never; such connections are known to be read. `has_unsent`: written data is still buffered. Of the contents of
-    `outbox`, `notices` are messages sent without a request, which must not be lost with the connection, and
-    `newly_established` the sessions whose answer it contains.
+    whether a valid one ever came, `has_tested` whether that was a test. `last_read_at` is when the client last showed
+    that it reads the connection, -1 for never. `has_unsent`: written data is still buffered. `notices` are to be
+    written after `outbox`; `unconfirmed` are notices that were written and may not have been read. The outbox contains
+    the answers of `newly_established` sessions.
     """
 
     number: int
@@ -33,20 +35,40 @@
     connected_at: int = 0
     last_request_at: int = 0
     has_requested: bool = False
-    last_established_at: int = -1
+    has_tested: bool = False
+    was_written: bool = False
+    last_read_at: int = -1
     errors: int = 0
-    notices: list[bytes] = field(default_factory=list)
+    notices: deque[Notice] = field(default_factory=deque)
+    unconfirmed: list[Notice] = field(default_factory=list)
     newly_established: list[Session] = field(default_factory=list)
     has_unsent: bool = False
     closing: bool = False
     closed: bool = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can still be sent on it."""
+        return not self.closing and not self.closed
+
+    @property
+    def is_read(self) -> bool:
+        """Whether its client has ever shown that it reads the connection."""
+        return self.last_read_at >= 0
+
+    @property
+    def has_output(self) -> bool:
+        """Whether `take_outbox` would return anything."""
+        return bool(self.outbox or self.notices)
+
     def take_outbox(self) -> bytes:
-        """Take the bytes to send, which count as sent from then on."""
-        data = bytes(self.outbox)
+        """Take the bytes to send, which count as sent from then on: the outbox and a limited number of notices."""
+        taken = [self.notices.popleft() for _ in range(min(len(self.notices), MAX_NOTICES_PER_WRITE))]
+        data = bytes(self.outbox) + b"".join(notice.data for notice in taken)
+        self.unconfirmed += taken
         self.outbox.clear()
-        self.notices.clear()
         self.newly_established.clear()
+        self.was_written = True
         return data
 
 
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -213,7 +213,8 @@
             writer.on_broken()
 
     def _viewer_drained(self, viewer: Viewer) -> None:
-        viewer.has_unsent = False
+        self.core.outbox_written(now(), viewer, False)
+        self.perform_actions()
 
     # ---- signals
 
@@ -438,9 +439,9 @@
         writer = self._viewer_writers.get(viewer)
         if writer is not None and (viewer.notices or viewer.newly_established):
             self._read_unread(viewer)  # a client that has gone must get neither an answer nor a notice
-        if writer is not None and viewer.outbox and not viewer.closed:
+        if writer is not None and viewer.has_output and not viewer.closed:
             writer.write(viewer.take_outbox())
-            viewer.has_unsent = bool(writer.unsent)
+            self.core.outbox_written(now(), viewer, bool(writer.unsent))
         if writer is not None and viewer.closing and viewer in self._read_scopes:
             self._read_scopes[viewer].cancel()
 
--- a/tests/control/node/helpers.py
+++ b/tests/control/node/helpers.py
@@ -145,7 +145,9 @@
                 if link in link.host.links:
                     self.sent.setdefault(link, []).extend(messages(self.core.take_frames(self.now, link)[0]))
             for viewer in actions.write_viewers:
-                self.received[viewer] = self.received.get(viewer, b"") + viewer.take_outbox()
+                if viewer.has_output:
+                    self.received[viewer] = self.received.get(viewer, b"") + viewer.take_outbox()
+                    self.core.outbox_written(self.now, viewer, False)
 
     def advance(self, seconds):
         end = self.now + round(seconds * SECOND)
--- /dev/null
+++ b/tests/control/node/test_notices.py
@@ -0,0 +1,199 @@
+"""Notices to viewers: who is told that a session is over, on which connection and when."""
+
+import pytest
+
+from copperyard.control.node import bounds
+from tests.control.node.helpers import SECOND, CoreDriver, release, setup, sid, teardown
+
+PING = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
+
+
+def host_dies(driver, link):
+    """The host's process dies: its connections are reset and new ones refused."""
+    driver.connect_at_once = False
+    driver.link_down(link, reset=True)
+    driver.advance(0.6)
+    for one in [one for one in driver.dialled if one in one.host.links]:
+        driver.link_down(one, refused=True)
+
+
+def host_releases(driver, link):
+    driver.host_sends(link, release(sid(1)))
+
+
+def host_restarts(driver, link):
+    driver.core._session_lost(driver.now, driver.core.sessions_by_id[bytes.fromhex(sid(1))])
+    driver.run_actions()
+
+
+def host_vanishes(driver, link):
+    driver.connect_at_once = False
+    end, seen = driver.now + 7 * SECOND, len(driver.dialled)
+    while driver.now < end and driver.core.sessions:
+        driver.advance(0.25)
+        for one in [one for one in driver.dialled[seen:] if one in one.host.links]:
+            driver.link_down(one, silent=True)
+        seen = len(driver.dialled)
+    assert not driver.core.sessions
+
+
+def sends_garbage(driver, viewer):
+    driver.send(viewer, b"\0\1\2 no request\r\n\r\n")
+
+
+def makes_too_many_errors(driver, viewer):
+    for _ in range(bounds.MAX_VIEWER_ERRORS):
+        driver.send(viewer, setup(sid(99), cls="nobody"))
+
+
+def is_evicted(driver, viewer):
+    driver.core.viewer_disconnected(driver.now, viewer)
+    driver.run_actions()
+
+
+def is_reset(driver, viewer):
+    driver.core.viewer_disconnected(driver.now, viewer, undelivered=True)
+    driver.run_actions()
+
+
+ENDS = [host_dies, host_vanishes, host_releases, host_restarts]
+LEAVES = [CoreDriver.hang_up, sends_garbage, makes_too_many_errors, is_evicted, is_reset]
+
+
+def ping(driver, viewer):
+    """Send a test; what the viewer hears then but its answer."""
+    driver.send(viewer, PING)
+    heard = driver.statuses(viewer)
+    assert heard[0] == 200
+    return heard[1:]
+
+
+@pytest.mark.parametrize("leaves", LEAVES)
+@pytest.mark.parametrize("ends", ENDS)
+def test_a_viewer_that_came_back_and_only_tests_is_told(leaves, ends):
+    # guards against: a notice that waits for another session to be established though a connection is being read
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    leaves(driver, viewer)
+    driver.received.clear()
+    back = driver.viewer()
+    assert ping(driver, back) == []
+    driver.advance(0.1)
+    assert ping(driver, back) == []
+    ends(driver, link)
+    assert driver.statuses(back) == ["TEARDOWN"]
+
+
+@pytest.mark.parametrize("ends", ENDS)
+def test_a_viewer_that_comes_back_after_the_end_is_told(ends):
+    # guards against: a notice that waits although its viewer is back and is being answered
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    ends(driver, link)
+    back = driver.viewer()
+    driver.send(back, PING)
+    driver.advance(0.1)
+    driver.send(back, PING)
+    assert driver.statuses(back).count("TEARDOWN") == 1
+
+
+def test_a_move_reaches_a_viewer_that_came_back():
+    # guards against: a move that waits as long as a release did
+    driver = CoreDriver()
+    viewer, _ = driver.established()
+    driver.hang_up(viewer)
+    back = driver.viewer()
+    ping(driver, back)
+    ping(driver, back)
+    (session,) = driver.core.sessions.values()
+    driver.core._post_notice(driver.now, session, b"REDIRECT rtsp://media/1 RTSP/1.0\r\n\r\n", driver.now + SECOND)
+    driver.run_actions()
+    assert driver.statuses(back) == ["REDIRECT"]
+
+
+@pytest.mark.parametrize(("ends", "limit"), [(host_releases, 1.0), (host_dies, 8.0)])
+def test_a_connection_tested_once_is_told_at_the_limit_if_no_other_is_read(ends, limit):
+    # guards against: a viewer that sends a single test and then only listens, and is never told
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    back = driver.viewer()
+    ping(driver, back)
+    heard_at = driver.now
+    ends(driver, link)
+    while driver.now < heard_at + limit * SECOND and not (heard := driver.statuses(back)):
+        driver.advance(0.05)
+    assert heard == ["TEARDOWN"] and driver.now < heard_at + limit * SECOND
+
+
+def test_a_test_after_the_limit_is_answered_with_the_notice():
+    # guards against: a viewer that comes back late and sends one test
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    host_releases(driver, link)
+    driver.advance(3)
+    assert ping(driver, driver.viewer()) == ["TEARDOWN"]
+
+
+def test_a_client_that_asked_once_and_one_that_is_mute_get_nothing_of_others():
+    # guards against: a notice written to a client that may have stopped reading
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    asked, mute = driver.viewer(), driver.viewer()
+    driver.send(asked, setup(sid(7), cls="nobody"))
+    driver.send(asked, teardown(sid(8)))
+    driver.statuses(asked)
+    tested = driver.viewer()
+    ping(driver, tested)
+    reader = driver.viewer()
+    ping(driver, reader)
+    ping(driver, reader)
+    host_releases(driver, link)
+    driver.advance(9)
+    assert driver.statuses(asked) == [] and driver.statuses(tested) == []
+    assert driver.statuses(reader) == ["TEARDOWN"] and b"TEARDOWN" not in driver.received.get(mute, b"")
+
+
+def test_requests_sent_in_one_piece_do_not_show_that_their_answers_are_read():
+    # guards against: a client that sends several requests at once and reads nothing
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    pipelined = driver.viewer()
+    driver.send(pipelined, PING * 5)
+    assert driver.statuses(pipelined) == [200] * 5
+    host_releases(driver, link)
+    assert driver.statuses(pipelined) == []
+
+
+def test_a_notice_on_a_connection_not_known_to_be_read_is_repeated_if_that_ends():
+    # guards against: a notice lost on a connection that nobody read
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    tested = driver.viewer()
+    ping(driver, tested)
+    host_releases(driver, link)
+    driver.advance(1)
+    assert driver.statuses(tested) == ["TEARDOWN"]
+    driver.hang_up(tested)
+    reader = driver.viewer()
+    assert ping(driver, reader) == ["TEARDOWN"]
+    ping(driver, reader)
+    driver.hang_up(reader)
+    assert not driver.core.pending_notices  # the further test shows that the notice was read
+
+
+def test_during_a_shutdown_a_connection_tested_once_is_told_at_once():
+    # guards against: a process that ends while a notice waits for a better connection
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    tested = driver.viewer()
+    ping(driver, tested)
+    driver.core.begin_shutdown(driver.now)
+    host_releases(driver, link)
+    assert driver.statuses(tested) == ["TEARDOWN"] and driver.core.shutdown_complete
--- /dev/null
+++ b/tests/gateway/node/test_notices.py
@@ -0,0 +1,75 @@
+"""Notices to viewers on real sockets: one that came back on another connection is told of the end of its session."""
+
+import pytest
+import trio
+
+from tests.control.node.helpers import release, setup, sid
+from tests.gateway.node.sockets import run_with_node
+
+PING = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
+
+
+async def ping(client):
+    client.send(PING)
+    assert await client.answers(1) == [200]
+
+
+@pytest.mark.parametrize("leaves", ["close", "reset", "half_close"])
+def test_a_viewer_that_came_back_is_told_of_its_session_end(leaves):
+    # guards against: a notice that waits for another session although a connection is open and being read
+    async def body(harness):
+        (host,) = harness.hosts
+        first = harness.client()
+        first.send(setup(sid(1)))
+        assert await first.answers(1) == [200]
+        getattr(first, leaves)()
+        back = harness.client()
+        await ping(back)
+        await ping(back)
+        await host.say(release(sid(1)))
+        assert await back.answers(1, 1.0) == ["TEARDOWN"]
+        await harness.until(harness.is_clean)
+
+    run_with_node(body, hosts=1)
+
+
+def test_a_viewer_that_tested_once_is_told_within_the_limit():
+    # guards against: a notice kept back from the only connection there is
+    async def body(harness):
+        (host,) = harness.hosts
+        first = harness.client()
+        first.send(setup(sid(1)))
+        assert await first.answers(1) == [200]
+        first.close()
+        back = harness.client()
+        await ping(back)
+        await host.say(release(sid(1)))
+        assert await back.answers(1, 1.0) == ["TEARDOWN"]
+
+    run_with_node(body, hosts=1)
+
+
+def test_clients_that_sent_one_request_get_nothing_while_another_reads():
+    # guards against: a notice written to a client that reads nothing any more
+    async def body(harness):
+        (host,) = harness.hosts
+        first = harness.client()
+        first.send(setup(sid(1)))
+        assert await first.answers(1) == [200]
+        once = [harness.client() for _ in range(5)]
+        for client in once:
+            await ping(client)
+        reader = harness.client()
+        await ping(reader)
+        await ping(reader)
+        later = harness.client()
+        await ping(later)
+        first.close()
+        await host.say(release(sid(1)))
+        assert await reader.answers(1, 1.0) == ["TEARDOWN"]
+        await trio.sleep(1.2)
+        for client in (*once, later):
+            with pytest.raises(BlockingIOError):
+                client.sock.recv(1)
+
+    run_with_node(body, hosts=1)
