A notice that was written just before its connection was reset is sent on another one

Seen by callers: a viewer whose connection was reset with the notice unread, or whose buffered bytes never left, was not told, while another connection was being read. BufferedWriter dropped its unsent bytes, and Node._read_unread and _serve_viewer did not pass on that the connection had been reset. Change: the end of a connection tells whether the last bytes may not have arrived (reset, failed or buffered write); notices of the last second, or all while some are buffered, are sent elsewhere. Not after an orderly close, nor after a further request.

--- a/copperyard/control/node/notices.py
+++ b/copperyard/control/node/notices.py
@@ -77,8 +77,7 @@
         if viewer.has_unsent:
             return
         if viewer.is_read:
-            confirmed_before = now - bounds.NOTICE_RESET_PERIOD
-            viewer.unconfirmed = [one for one in viewer.unconfirmed if one.written_at > confirmed_before]
+            viewer.unconfirmed = self._unread(now, viewer, True)
             self._send_waiting(now, viewer, self.waiting)
         elif self.waiting and self.expected_connection() is viewer:
             self._send_waiting(now, viewer, self._overdue(now))
@@ -90,14 +89,21 @@
 
         `undelivered`: the last bytes written to it have not arrived, as after a reset.
         """
-        lost = viewer.unconfirmed if undelivered or not viewer.is_read else []
-        unread = [*lost, *viewer.notices]
+        unread = [*self._unread(now, viewer, undelivered), *viewer.notices]
         viewer.unconfirmed = []
         viewer.notices.clear()
         for notice in unread:
             notice.written_at = -1
             self.post(now, notice, None)
 
+    def _unread(self, now: int, viewer: Viewer, undelivered: bool) -> list[Notice]:
+        """The notices written to the connection that its client may not have read, should the connection end now."""
+        if viewer.has_unsent or not viewer.is_read:
+            return viewer.unconfirmed
+        if not undelivered:
+            return []
+        return [one for one in viewer.unconfirmed if now - one.written_at < bounds.NOTICE_RESET_PERIOD]
+
     def send_overdue(self, now: int) -> None:
         """Send the notices that are due on a connection that was tested, if none is known to be read."""
         viewer = self.expected_connection()
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -66,6 +66,7 @@
         )
         self.on_drained = on_drained
         self.unsent = bytearray()
+        self.failed = False
         self.drained = AutoResetEvent()
 
     def write(self, data: bytes) -> None:
@@ -73,12 +74,12 @@
         if self.unsent:
             self.unsent += data
             if len(self.unsent) > self.max_unsent:
-                self.on_broken()
+                self._break()
             return
         try:
             sent = self.stream.send_now(data)
         except OSError:
-            return self.on_broken()
+            return self._break()
         if sent < len(data):
             self.unsent += data[sent:]
             self.nursery.start_soon(self._drain)
@@ -90,12 +91,21 @@
                     sent = await self.stream.send_some(bytes(self.unsent[: bounds.HOST_READ_BYTES]))
                     del self.unsent[:sent]
                 if timeout.cancelled_caught:
-                    return self.on_broken()
+                    return self._break()
         except CONNECTION_ERRORS:
-            return self.on_broken()
+            return self._break()
         self.drained.set()
         self.on_drained()
 
+    def _break(self) -> None:
+        self.failed = True
+        self.on_broken()
+
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether some of the written bytes cannot have reached the peer."""
+        return self.failed or bool(self.unsent)
+
 
 class Node:
     """A node on a network. Each call into the core is followed by `perform_actions`; neither ever waits."""
@@ -419,14 +429,15 @@
         for _ in range(bounds.MAX_READS_PER_TURN):
             if writer is None or viewer.closed or viewer.closing:
                 return found
+            reset = False
             try:
                 data = writer.stream.receive_now(bounds.VIEWER_READ_BYTES)
             except OSError:
-                data = b""
+                data, reset = b"", True
             if data is None:
                 return found
             if not data:
-                self.core.viewer_disconnected(now(), viewer)
+                self.core.viewer_disconnected(now(), viewer, reset or writer.has_undelivered)
                 writer.on_broken()
                 return ReadResult.SOME
             self.core.viewer_received(now(), viewer, data)
@@ -475,6 +486,7 @@
 
     async def _serve_viewer(self, viewer: Viewer, scope: trio.CancelScope) -> None:
         writer = self._viewer_writers.get(viewer)
+        reset = False
         try:
             if writer is None:
                 return  # it was closed already to make room
@@ -485,13 +497,14 @@
                     with trio.move_on_after(bounds.LAST_ANSWER_TIMEOUT / 1e9):
                         await self._deliver_last_answer(writer)
         except CONNECTION_ERRORS:
-            pass
+            reset = True
         finally:
             self._viewer_writers.pop(viewer, None)
             del self._read_scopes[viewer]
+            undelivered = reset or writer is not None and writer.has_undelivered
             if writer is not None:
                 writer.stream.close()
-            self.core.viewer_disconnected(now(), viewer)
+            self.core.viewer_disconnected(now(), viewer, undelivered)
             self.perform_actions()
             if not self._viewer_writers:
                 self._shutdown_progress.set()
--- a/tests/control/node/test_notices.py
+++ b/tests/control/node/test_notices.py
@@ -197,3 +197,68 @@
     driver.core.begin_shutdown(driver.now)
     host_releases(driver, link)
     assert driver.statuses(tested) == ["TEARDOWN"] and driver.core.shutdown_complete
+
+
+def reader(driver):
+    """Another viewer's connection that is known to be read."""
+    viewer = driver.viewer()
+    ping(driver, viewer)
+    ping(driver, viewer)
+    return viewer
+
+
+def test_a_notice_written_just_before_a_reset_is_sent_on_another_connection():
+    # guards against: a notice that counts as told once it was written, though its connection was reset with it unread
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    other = reader(driver)
+    host_releases(driver, link)
+    assert driver.statuses(viewer) == ["TEARDOWN"]
+    is_reset(driver, viewer)
+    assert driver.statuses(other) == ["TEARDOWN"]
+
+
+@pytest.mark.parametrize("after", ["a close", "a reset later", "a reset after a request"])
+def test_a_notice_that_was_read_is_not_sent_again(after):
+    # guards against: viewers told twice
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    other = reader(driver)
+    host_releases(driver, link)
+    if after == "a reset after a request":
+        driver.send(viewer, PING)
+    if after == "a reset later":
+        driver.advance(1.1)
+    driver.core.viewer_disconnected(driver.now, viewer, undelivered=after != "a close")
+    driver.run_actions()
+    assert driver.statuses(other) == [] and not driver.core.pending_notices
+
+
+def test_a_buffered_notice_of_a_connection_that_breaks_is_sent_on_another():
+    # guards against: a notice lost in the buffer of a connection that its client does not read
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    other = reader(driver)
+    driver.host_sends(link, release(sid(1)))
+    driver.core.outbox_written(driver.now, viewer, True)
+    driver.advance(5)
+    is_reset(driver, viewer)
+    assert driver.statuses(other) == ["TEARDOWN"]
+
+
+@pytest.mark.parametrize("read", [False, True])
+def test_a_notice_behind_buffered_data_is_written_once_that_is_read(read):
+    # guards against: a notice forgotten, or told twice, when its connection is slow
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    other = reader(driver)
+    driver.core.outbox_written(driver.now, viewer, True)
+    host_releases(driver, link)
+    assert driver.statuses(viewer) == []
+    if read:
+        driver.core.outbox_written(driver.now, viewer, False)
+        driver.run_actions()
+    else:
+        is_reset(driver, viewer)
+    assert driver.statuses(viewer if read else other) == ["TEARDOWN"]
+    assert driver.statuses(other if read else viewer) == []
--- a/tests/gateway/node/test_notices.py
+++ b/tests/gateway/node/test_notices.py
@@ -4,7 +4,7 @@
 import trio
 
 from tests.control.node.helpers import release, setup, sid
-from tests.gateway.node.sockets import run_with_node
+from tests.gateway.node.sockets import answer, run_with_node
 
 PING = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
 
@@ -73,3 +73,44 @@
                 client.sock.recv(1)
 
     run_with_node(body, hosts=1)
+
+
+def test_a_notice_in_the_buffer_of_a_client_that_reads_nothing_reaches_another_one():
+    # guards against: a notice lost with the buffer of a connection that breaks
+    async def body(harness):
+        (host,) = harness.hosts
+        host.setup_reply = lambda session: answer(session, 14000)
+        stuck = harness.client()
+        for n in range(1, 6):
+            stuck.send(setup(sid(n)))
+            await harness.until(lambda n=n: len(harness.node.core.sessions) == n)
+        await harness.until(lambda: any(writer.unsent for writer in harness.node._viewer_writers.values()))
+        reader = harness.client()
+        await ping(reader)
+        await ping(reader)
+        await host.say(release(sid(1)))
+        await harness.until(lambda: len(harness.node.core.sessions) == 4)
+        stuck.reset()
+        assert await reader.answers(1, 1.0) == ["TEARDOWN"]
+
+    run_with_node(body, hosts=1, small_buffers=True)
+
+
+@pytest.mark.parametrize("leaves", ["close", "reset"])
+def test_a_notice_that_crosses_the_unread_end_of_its_connection_reaches_another_one(leaves):
+    # guards against: a notice written to a connection that was reset with it
+    async def body(harness):
+        (host,) = harness.hosts
+        first, reader = harness.client(), harness.client()
+        first.send(setup(sid(1)))
+        await harness.until(lambda: harness.node.core.sessions)
+        await harness.until(lambda: next(iter(harness.node.core.sessions.values())).established)
+        await ping(reader)
+        await ping(reader)
+        await host.say(release(sid(1)))
+        await harness.until(lambda: not harness.node.core.sessions)
+        await trio.sleep(0.02)
+        getattr(first, leaves)()  # the answer and the notice are unread, so that a close resets the connection, too
+        assert await reader.answers(1, 1.0) == ["TEARDOWN"]
+
+    run_with_node(body, hosts=1)
