A connection is not closed as idle while the end of a session may have to be told on it

Cause, by the same trace: `TRACE idle close viewer=2 standing=1`: NodeCore._is_overdue looked at open set-ups only. Relatives: the eviction at the bound of viewers' connections, sessions handed over with `at`, the connection on which a viewer came back. Change: a connection stays while a session established or handed over on it plays; so does the one on which the next notice would be sent, while a notice waits or a session plays whose own connection has ended. Eviction takes those without a session first. Measured: 5 tests of tests/control/node/test_notices.py fail on the commit before and pass now.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -338,15 +338,11 @@
             self._write_viewer(viewer)
 
     def viewer_to_evict(self) -> Viewer | None:
-        """The viewer connection that may be closed to make room: one without a request, else the one idle longest.
-        Never one with unsent data, as closing it would truncate an answer.
+        """The viewer connection that may be closed to make room: one without a request, else the one idle longest, if
+        possible without sessions. Never one with unsent data, as closing it would truncate an answer.
         """
         idle = [viewer for viewer in self.viewers if not viewer.open_setups and not viewer.has_unsent]
-        return (
-            min(idle, key=lambda viewer: (viewer.is_read, viewer.has_requested, viewer.last_request_at))
-            if idle
-            else None
-        )
+        return min(idle, key=_eviction_order) if idle else None
 
     def viewers_to_close(self, now: int) -> list[Viewer]:
         """The connections that the next sweep will close, if it is due. The caller of `run_timers` reads unread data
@@ -355,12 +351,22 @@
         return [viewer for viewer in self.viewers if self._is_overdue(now, viewer)] if now >= self._next_sweep else []
 
     def _is_overdue(self, now: int, viewer: Viewer) -> bool:
-        overdue = (
-            now - viewer.connected_at >= bounds.FIRST_REQUEST_TIMEOUT
-            if not viewer.has_requested
-            else now - viewer.last_request_at >= bounds.VIEWER_IDLE_TIMEOUT
+        if viewer.open_setups or viewer.closing:
+            return False
+        if not viewer.has_requested:
+            return now - viewer.connected_at >= bounds.FIRST_REQUEST_TIMEOUT
+        return now - viewer.last_request_at >= bounds.VIEWER_IDLE_TIMEOUT and not self._is_needed(viewer)
+
+    def _is_needed(self, viewer: Viewer) -> bool:
+        """Whether the end of a session may have to be told on this connection, as no other one is better."""
+        if viewer.established_sessions:
+            return True
+        if viewer is not self.notices.expected_connection():
+            return False
+        return bool(self.notices.waiting) or any(
+            session.established and session.viewer is not None and not session.viewer.is_open
+            for session in self.sessions.values()
         )
-        return overdue and not viewer.open_setups and not viewer.closing
 
     def _sweep(self, now: int) -> None:
         for viewer in self.viewers_to_close(now):
@@ -478,6 +484,7 @@
         session = self._add_session(session_request.ref, setup, viewer)
         session.attempts, session.host, session.established, session.established_at = 1, host, True, now
         self.notices.connection_read(now, viewer)
+        viewer.established_sessions[session.ref] = session
         host.sessions[session.ref] = session
         self._feed(now, CarriedSession(session_request, host.server))
         self._ensure_link(now, host)
@@ -508,6 +515,7 @@
             del self.sessions_by_id[session.setup.session_id]
         if session.viewer is not None:
             session.viewer.open_setups.pop(session.ref, None)
+            session.viewer.established_sessions.pop(session.ref, None)
 
     def _answer_setup(self, session: Session, status: int, body: bytes = b"", retry_after: int = 0) -> None:
         viewer = session.viewer
@@ -905,6 +913,7 @@
         self._answer_setup(session, 200, description)
         if session.viewer is not None:
             session.viewer.newly_established.append(session)
+            session.viewer.established_sessions[session.ref] = session
             self.notices.connection_read(now, session.viewer)
         self._feed(now, SessionOpened(session.ref, attempt.number, link.host.server, now - attempt.queued_at))
 
@@ -1046,3 +1055,7 @@
 
 def _encode_release(session: bytes, cause: int) -> bytes:
     return encode(MessageKind.RELEASE, session, ((Param.CAUSE, bytes((cause,))),))
+
+
+def _eviction_order(viewer: Viewer) -> tuple[bool, bool, bool, int]:
+    return bool(viewer.established_sessions), viewer.is_read, viewer.has_requested, viewer.last_request_at
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -21,7 +21,8 @@
 class Viewer:
     """A connection of a viewer.
 
-    `open_setups` are its set-ups without an answer, `last_request_at` the time of its last request, `has_requested`
+    `open_setups` are its set-ups without an answer, `established_sessions` those established or handed over on it
+    that have not ended, by reference, `last_request_at` the time of its last request, `has_requested`
     whether a valid one ever came, `has_tested` whether that was a test. `last_read_at` is when the client last showed
     that it reads the connection, -1 for never. `has_unsent`: written data is still buffered. `notices` are to be
     written after `outbox`; `unconfirmed` are notices that were written and may not have been read. The outbox contains
@@ -32,6 +33,7 @@
     parser: Connection = field(default_factory=lambda: Connection(VIEWER_LIMITS))
     outbox: bytearray = field(default_factory=bytearray)
     open_setups: dict[int, Session] = field(default_factory=dict)
+    established_sessions: dict[int, Session] = field(default_factory=dict)
     connected_at: int = 0
     last_request_at: int = 0
     has_requested: bool = False
--- a/tests/control/node/test_notices.py
+++ b/tests/control/node/test_notices.py
@@ -262,3 +262,55 @@
         is_reset(driver, viewer)
     assert driver.statuses(viewer if read else other) == ["TEARDOWN"]
     assert driver.statuses(other if read else viewer) == []
+
+
+def test_a_connection_is_not_closed_for_being_idle_while_its_session_plays():
+    # guards against: a viewer that has been quiet for 30 s and has no connection left to be told on
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.advance(2 * bounds.VIEWER_IDLE_TIMEOUT / SECOND)
+    assert viewer.is_open
+    host_releases(driver, driver.core.hosts[link.host.server].up_link())
+    assert driver.statuses(viewer) == ["TEARDOWN"]
+    driver.advance(1)
+    assert not viewer.is_open  # nothing can be told on it any more
+
+
+def test_a_connection_that_a_session_was_handed_over_on_stays_open_while_that_plays():
+    # guards against: the same for a session that the node took over
+    driver = CoreDriver()
+    viewer = driver.viewer()
+    driver.send(viewer, setup(sid(1), facts="home:0;copies:3;top:1;viewer:00;at:s-1"))
+    driver.advance(2 * bounds.VIEWER_IDLE_TIMEOUT / SECOND)
+    assert viewer.is_open
+
+
+@pytest.mark.parametrize("tests", [1, 2])
+def test_the_connection_that_a_viewer_came_back_on_stays_open_while_its_session_plays(tests):
+    # guards against: a viewer that came back and was quiet for 30 s again
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    others = [driver.viewer() for _ in range(3)]
+    for one in others:
+        ping(driver, one)
+    driver.advance(0.1)
+    back = driver.viewer()
+    for _ in range(tests):
+        ping(driver, back)
+    driver.advance(2 * bounds.VIEWER_IDLE_TIMEOUT / SECOND)
+    assert back.is_open and not any(one.is_open for one in others)
+    host_dies(driver, link if link in link.host.links else link.host.up_link())
+    driver.advance(8)
+    assert driver.statuses(back) == ["TEARDOWN"]
+
+
+def test_at_the_limit_of_viewers_connections_those_without_a_session_are_closed_first():
+    # guards against: a connection closed to make room though the end of a session can be told there only
+    driver = CoreDriver()
+    holder, _ = driver.established()
+    driver.advance(1)
+    idle = reader(driver)
+    assert driver.core.viewer_to_evict() is idle
+    driver.hang_up(idle)
+    assert driver.core.viewer_to_evict() is holder
