A connection counts as idle from its last request or notice, not from its last request only

Cause: the exemption of connections with a session ended with the session, so the idle time of the session counted at once. Change: Viewer.last_active_at is the last request or notice.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -276,7 +276,7 @@
     def viewer_connected(self, now: int) -> Viewer:
         """Register a new connection of a viewer."""
         self._last_number += 1
-        viewer = Viewer(self._last_number, connected_at=now, last_request_at=now)
+        viewer = Viewer(self._last_number, connected_at=now, last_active_at=now)
         self.viewers[viewer] = None
         return viewer
 
@@ -355,7 +355,7 @@
             return False
         if not viewer.has_requested:
             return now - viewer.connected_at >= bounds.FIRST_REQUEST_TIMEOUT
-        return now - viewer.last_request_at >= bounds.VIEWER_IDLE_TIMEOUT and not self._is_needed(viewer)
+        return now - viewer.last_active_at >= bounds.VIEWER_IDLE_TIMEOUT and not self._is_needed(viewer)
 
     def _is_needed(self, viewer: Viewer) -> bool:
         """Whether the end of a session may have to be told on this connection, as no other one is better."""
@@ -378,7 +378,7 @@
         self.timers.set(("sweep", None), self._next_sweep)
 
     def _handle_request(self, now: int, viewer: Viewer, request: rtsp.Request) -> None:
-        viewer.last_request_at = now
+        viewer.last_active_at = now
         try:
             if request.method == "SETUP":
                 self._setup(now, viewer, request)
@@ -1058,4 +1058,4 @@
 
 
 def _eviction_order(viewer: Viewer) -> tuple[bool, bool, bool, int]:
-    return bool(viewer.established_sessions), viewer.is_read, viewer.has_requested, viewer.last_request_at
+    return bool(viewer.established_sessions), viewer.is_read, viewer.has_requested, viewer.last_active_at
--- a/copperyard/control/node/notices.py
+++ b/copperyard/control/node/notices.py
@@ -72,7 +72,7 @@
         """Bytes were written to the connection, the notices that `Viewer.take_outbox` returned among them."""
         for notice in viewer.unconfirmed:
             if notice.written_at < 0:
-                notice.written_at = now
+                notice.written_at = viewer.last_active_at = now
                 self.counts.late += now > notice.due
         if viewer.has_unsent:
             return
@@ -118,7 +118,7 @@
     def expected_connection(self) -> Viewer | None:
         """The connection that the next notice would be sent on: one known to be read, else the one tested last."""
         tested = [viewer for viewer in self._viewers if viewer.has_tested and viewer.is_open]
-        return self._known_reader() or (max(tested, key=_last_request) if tested else None)
+        return self._known_reader() or (max(tested, key=_last_active) if tested else None)
 
     def _known_reader(self) -> Viewer | None:
         readers = [viewer for viewer in self._viewers if viewer.is_read and viewer.is_open and not viewer.has_unsent]
@@ -164,5 +164,5 @@
     return viewer.last_read_at, viewer.number
 
 
-def _last_request(viewer: Viewer) -> tuple[int, int]:
-    return viewer.last_request_at, viewer.number
+def _last_active(viewer: Viewer) -> tuple[int, int]:
+    return viewer.last_active_at, viewer.number
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -22,11 +22,11 @@
     """A connection of a viewer.
 
     `open_setups` are its set-ups without an answer, `established_sessions` those established or handed over on it
-    that have not ended, by reference, `last_request_at` the time of its last request, `has_requested`
-    whether a valid one ever came, `has_tested` whether that was a test. `last_read_at` is when the client last showed
-    that it reads the connection, -1 for never. `has_unsent`: written data is still buffered. `notices` are to be
-    written after `outbox`; `unconfirmed` are notices that were written and may not have been read. The outbox contains
-    the answers of `newly_established` sessions.
+    that have not ended, both by reference. `last_active_at` is when a request came or a notice was written last,
+    `has_requested` whether a valid request ever came, `has_tested` whether one was a test. `last_read_at` is when the
+    client last showed that it reads the connection, -1 for never. `has_unsent`: written data is still buffered.
+    `notices` are to be written after `outbox`; `unconfirmed` are notices that were written and may not have been read.
+    The outbox contains the answers of `newly_established` sessions.
     """
 
     number: int
@@ -35,7 +35,7 @@
     open_setups: dict[int, Session] = field(default_factory=dict)
     established_sessions: dict[int, Session] = field(default_factory=dict)
     connected_at: int = 0
-    last_request_at: int = 0
+    last_active_at: int = 0
     has_requested: bool = False
     has_tested: bool = False
     was_written: bool = False
