--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -107,6 +107,8 @@
         self._last_number = 0
         self._accept_until: int | None = None
         self._next_sweep = 0
+        self._logged_notices = (0, 0, 0)
+        self._next_notice_log = 0
         self._connections_at_limit = False
         self._rng = random.Random(seed)
         self._last_suspicion = -bounds.SUSPICION_PERIOD
@@ -374,9 +376,20 @@
                 self._close_viewer(now, viewer, 408, "no request received in time")
             else:
                 self._end_writing(now, viewer)
+        self._log_notices(now)
         self._next_sweep = now + bounds.SWEEP_INTERVAL
         self.timers.set(("sweep", None), self._next_sweep)
 
+    def _log_notices(self, now: int) -> None:
+        """Log at times that notices wait for a connection, or that some were late or dropped."""
+        counts = self.notices.counts
+        state = len(self.notices.waiting), counts.late, counts.dropped
+        if state[0] + state[1] + state[2] == 0 or state == self._logged_notices or now < self._next_notice_log:
+            return
+        self._logged_notices = state
+        self._next_notice_log = now + bounds.NOTICE_LOG_INTERVAL
+        self.log_line("notices to viewers", waiting=state[0], late=state[1], dropped=state[2])
+
     def _handle_request(self, now: int, viewer: Viewer, request: rtsp.Request) -> None:
         viewer.last_active_at = now
         try:
--- a/tests/control/node/test_notices.py
+++ b/tests/control/node/test_notices.py
@@ -316,3 +316,51 @@
     assert driver.core.viewer_to_evict() is idle
     driver.hang_up(idle)
     assert driver.core.viewer_to_evict() is holder
+
+
+def adopt(driver, viewer, count):
+    """Hand over sessions that play at one host."""
+    for n in range(1, count + 1):
+        driver.send(viewer, setup(sid(n), facts="home:0;copies:3;top:1;viewer:00;at:s-1"))
+
+
+def test_many_viewers_that_are_away_are_all_told_once_one_connection_is_read():
+    # guards against: notices over a fixed number that push the first ones out
+    driver = CoreDriver()
+    viewer = driver.viewer()
+    adopt(driver, viewer, 3000)
+    driver.hang_up(viewer)
+    (link,) = driver.dialled
+    host_dies(driver, link)
+    assert len(driver.core.pending_notices) == 3000 and driver.core.notices.counts.dropped == 0
+    back = driver.viewer()
+    ping(driver, back)
+    driver.send(back, PING)
+    heard = driver.answers(back)
+    assert len({one.header("Session") for one in heard if hasattr(one, "method") and one.method == "TEARDOWN"}) == 3000
+
+
+def test_notices_that_wait_are_bounded_and_those_dropped_are_counted(monkeypatch):
+    # guards against: memory that grows with viewers that never come back, and losses that nobody sees
+    monkeypatch.setattr(bounds, "MAX_WAITING_NOTICES", 100)
+    driver = CoreDriver()
+    viewer = driver.viewer()
+    adopt(driver, viewer, 150)
+    driver.hang_up(viewer)
+    host_dies(driver, driver.dialled[0])
+    assert len(driver.core.pending_notices) == 100 and driver.core.notices.counts.dropped == 50
+    driver.advance(1)
+    assert ("notices to viewers", {"waiting": 100, "late": 0, "dropped": 50}) in driver.lines
+
+
+def test_notices_long_overdue_make_room():
+    # guards against: the notices of viewers that never come back kept for good
+    driver = CoreDriver()
+    viewer = driver.viewer()
+    adopt(driver, viewer, 2)
+    driver.hang_up(viewer)
+    link = driver.core.sessions_by_id[bytes.fromhex(sid(1))].host.up_link()
+    driver.host_sends(link, release(sid(1)))
+    driver.advance(bounds.NOTICE_RETENTION_PERIOD / SECOND + 2)
+    driver.host_sends(driver.core.sessions_by_id[bytes.fromhex(sid(2))].host.up_link(), release(sid(2)))
+    assert len(driver.core.pending_notices) == 1
--- a/tests/gateway/node/test_notices.py
+++ b/tests/gateway/node/test_notices.py
@@ -114,3 +114,21 @@
         assert await reader.answers(1, 1.0) == ["TEARDOWN"]
 
     run_with_node(body, hosts=1)
+
+
+def test_a_connection_with_very_many_notices_stays_open_and_gets_all():
+    # guards against: a connection that carries thousands of sessions and is cut by the notices of one host's end
+    async def body(harness):
+        (host,) = harness.hosts
+        front = harness.client()
+        for n in range(1, 4001):
+            front.send(setup(sid(n), facts="home:0;copies:1;top:1;viewer:00;at:s-0"))
+            if n % 50 == 0:
+                await harness.until(lambda n=n: len(harness.node.core.sessions) == n)
+        await harness.until(lambda: host.streams)
+        for n in range(1, 4001):
+            await host.say(release(sid(n)))
+        await harness.until(lambda: not harness.node.core.sessions)
+        assert await front.answers(4000) == ["TEARDOWN"] * 4000 and not front.at_end
+
+    run_with_node(body, hosts=1, small_buffers=True)
