At the bound of connections to hosts, silent hosts are still checked

Cause, by a trace of a scratch copy: `TRACE no descriptor host=s-75 connections=104 links=1 sessions=3 silent_ms=9008 failed_dials=0`: Node.perform_actions ends the dial of NodeCore._check_host at the bound, since link_to_evict names only connections to hosts without sessions; this counts as no missed dial, so the check is repeated to no end. Ruled out: the timer (`check=1` there). Change: control/node/connection_limit.py chooses what makes room: hosts without sessions, then a second connection to one host, then, for a host that must be reached, its own silent connection, which the new one replaces, then the one heard from longest ago. The last is read first, and its host is connected to again at its next check, not at once, so hosts do not take turns in a loop. Relatives: hosts that lost their connection at the bound; hosts handed over beyond it; a death there; a release there.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -16,6 +16,7 @@
 MAX_WAITING_NOTICES = 16384  # notices to viewers that wait for a connection that is being read
 MAX_NOTICES_PER_WRITE = 256  # notices written to one connection before the next ones wait until it has taken them
 MAX_LINK_OUTBOX = 1024  # frames and set-ups queued on one connection to a host
+MAX_UNSENT_FRAMES = 4096  # frames kept for one host while no connection to it comes up
 MAX_DATAGRAMS_PER_TURN = 64  # datagrams of the name service read in one turn
 MAX_OPEN_QUERIES = 8  # queries to the name service whose answers are still accepted
 MAX_VIEWER_UNSENT_BYTES = 1 << 18  # unsent bytes on one viewer connection, above which it is closed
@@ -32,11 +33,12 @@
 # connections
 MIN_SOCKETS = 64  # descriptors below which a node does not start
 RESERVED_SOCKETS = 24  # listener, name service, event loop, logs, and a connection being opened or closed
-MAX_LINKS_PER_HOST = 4  # connections to one host
+MAX_LINKS_PER_HOST = 4  # connections to one host, beside one that is dialled to check that the host is there
 MAX_VIEWER_ERRORS = 12  # invalid requests, after which a viewer connection is closed
 
 # times
 REDIAL_INTERVAL = 500 * MS  # between dials of a host that holds sessions
+MIN_LINK_UPTIME = SECOND  # before a connection may make room for another host's; a host repeats its releases within it
 # A host that holds sessions and was silent for so long is dialled to check that it is alive. Viewers must be told of a
 # vanished host within 8 s, and FAILED_DIALS_THRESHOLD dials at REDIAL_INTERVAL, each up to the connect timeout, come
 # after this. A shorter time costs many connections: with two hundred fronts of a few sessions each, most hosts are
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -51,6 +51,7 @@
 from ..controller_driver import ControllerDriver
 from ..timers import Timers
 from . import bounds
+from .connection_limit import ConnectionLimit, link_to_evict
 from .links import HostState, Link, LinkState, PendingProbe
 from .notices import Notice, NoticeDelivery
 from .sessions import Attempt, Session, Viewer
@@ -109,7 +110,10 @@
         self._next_sweep = 0
         self._logged_notices = (0, 0, 0)
         self._next_notice_log = 0
-        self._connections_at_limit = False
+        self._viewer_limit = ConnectionLimit(
+            "clients' connections", bounds.max_viewer_connections(sockets), self.log_line
+        )
+        self._host_limit = ConnectionLimit("connections to hosts", bounds.max_host_connections(sockets), self.log_line)
         self._rng = random.Random(seed)
         self._last_suspicion = -bounds.SUSPICION_PERIOD
         self._feed = ControllerDriver(
@@ -162,38 +166,23 @@
     @property
     def has_unsent(self) -> bool:
         """Whether any message to a host waits for its connection."""
-        return any(link.outbox for host in self.hosts.values() for link in host.links)
+        return any(host.unsent_frames or any(link.outbox for link in host.links) for host in self.hosts.values())
 
     def may_accept(self, connections: int) -> bool:
         """Whether one more connection of a viewer may be accepted beside `connections`. Over the limit it replaces
-        `viewer_to_evict`; if there is none, it is not accepted. Reaching the limit is logged once, until a quarter of
-        the connections is free again.
+        `viewer_to_evict`; if there is none, it is not accepted.
         """
-        limit = bounds.max_viewer_connections(self.sockets)
-        if connections >= limit and not self._connections_at_limit:
-            self._connections_at_limit = True
-            self.log_line("clients' connections at their bound", connections=connections, bound=limit)
-        elif connections < limit * 3 // 4 and self._connections_at_limit:
-            self._connections_at_limit = False
-            self.log_line("clients' connections under their bound again", connections=connections)
-        return connections < limit
+        return self._viewer_limit.allows_more(connections)
 
     def may_dial(self, connections: int) -> bool:
-        """Whether a descriptor is available for one more connection to a host."""
-        return connections < bounds.max_host_connections(self.sockets)
-
-    def link_to_evict(self) -> Link | None:
-        """The connection to a host that may be closed to free a descriptor: nothing waits or is in flight on it, and
-        its host holds no session whose release would come on it. Of those, the one heard from longest ago.
+        """Whether a descriptor is available for one more connection to a host. If not, one may replace
+        `link_to_evict`.
         """
-        idle = [
-            link
-            for host in self.hosts.values()
-            if not host.sessions
-            for link in host.links
-            if link.state is LinkState.UP and not link.attempts and not link.outbox
-        ]
-        return min(idle, key=lambda link: (link.last_heard, link.number)) if idle else None
+        return self._host_limit.allows_more(connections)
+
+    def link_to_evict(self, now: int = 0, dialled: HostState | None = None) -> Link | None:
+        """The connection to a host that may be closed to free a descriptor for one to `dialled`."""
+        return link_to_evict(now, self.hosts.values(), dialled)
 
     def take_actions(self) -> IoActions:
         """The I/O actions since the last call."""
@@ -662,11 +651,13 @@
 
     def link_up(self, now: int, link: Link) -> None:
         """The connection is established."""
-        link.state, link.last_heard, link.host.last_heard, link.host.failed_dials = LinkState.UP, now, now, 0
-        link.host.link_lost = False
+        host = link.host
+        link.state, link.up_at, link.last_heard = LinkState.UP, now, now
+        host.last_heard, host.failed_dials, host.link_lost = now, 0, False
+        link.outbox[:0] = host.take_unsent()
         if link.outbox:
             self.io_actions.write_links.append(link)
-        for old in [one for one in link.host.links if one is not link and one.state is LinkState.UP]:
+        for old in [one for one in host.links if one is not link and one.state is LinkState.UP]:
             # the new connection was dialled to check that the host is there; of two idle ones the older is not needed
             if not old.attempts and not old.outbox and now - old.last_heard >= bounds.SUSPICION_SILENCE_TIMEOUT:
                 self._half_close(old)
@@ -714,6 +705,14 @@
             self._finish_attempt(now, one, OutcomeCode.MOOT, None)
         return b"".join(parts), aborts_attempt
 
+    def link_evicted(self, now: int, link: Link) -> None:
+        """An idle connection was closed to make room. If sessions play at its host, the next check connects again."""
+        link.state = LinkState.DOWN
+        link.host.links.remove(link)
+        link.host.link_lost = True
+        self.timers.cancel(("partial", link))
+        self._remove_if_unused(link.host)
+
     def link_down(self, now: int, link: Link, refused: bool = False, silent: bool = False, reset: bool = False) -> None:
         """The connection has ended or was never established. `refused`: the host's machine refused it; `silent`: it got
         no answer; neither: this machine could not open one. `reset`: the peer reset it, as happens when its process
@@ -733,8 +732,9 @@
             self._finish_attempt(now, attempt, OutcomeCode.RESET, None)
         for one in unsent:
             if isinstance(one, bytes):
+                # a lost release would leave a session open at the host
                 if previous_state is LinkState.UP and host.listed and len(unsent) < bounds.MAX_LINK_OUTBOX:
-                    self._send_to_host(now, host, one)  # a lost release would leave a session open at the host
+                    self._send_to_host(now, host, one)
                 continue
             if previous_state is LinkState.UP and one.requeues < 2:
                 # an idle connection that had ended unnoticed: nothing was sent
@@ -775,6 +775,7 @@
 
     def _host_lost(self, now: int, host: HostState) -> None:
         """A host's process or machine is gone, and all its sessions with it."""
+        host.unsent_frames.clear()
         if host.sessions or host.links:
             self.log_line("host lost", host=host.name, sessions=len(host.sessions), listed=int(host.listed))
         for session in list(host.sessions.values()):
@@ -851,11 +852,14 @@
                 self._send_to_host(now, link.host, _encode_release(id, Cause.NORMAL))
 
     def _ensure_link(self, now: int, host: HostState) -> None:
-        """Dial a host that holds sessions if it has no connection, or none opened since one was lost.
+        """Dial a host that holds sessions, or for which frames wait, if it has no connection, or none opened since one
+        was lost.
 
         Dials are rate-limited. They are needed as the host repeats its releases on a new connection only.
         """
-        if not host.sessions or host.links and (not host.link_lost or host.dialling_link() is not None):
+        if not host.sessions and not host.unsent_frames:
+            return
+        if host.links and (not host.link_lost or host.dialling_link() is not None):
             return
         if not host.listed:
             return None if host.links else self._host_lost(now, host)
@@ -867,7 +871,7 @@
             self.timers.set(("redial", host), due)
 
     def _remove_if_unused(self, host: HostState) -> None:
-        if not host.listed and not host.sessions and not host.links and self.hosts.get(host.server) is host:
+        if not host.listed and not host.must_be_reached and not host.links and self.hosts.get(host.server) is host:
             del self.hosts[host.server]
 
     def link_received(self, now: int, link: Link, data: bytes) -> MessageError | None:
--- a/copperyard/control/node/links.py
+++ b/copperyard/control/node/links.py
@@ -6,7 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from ...protocol.node.messages import Decoder
+from ...protocol.node.messages import Decoder, MessageKind, frame_key, frame_kind
+from .bounds import MAX_UNSENT_FRAMES
 
 if TYPE_CHECKING:
     from .sessions import Attempt, Session
@@ -37,7 +38,7 @@
     `outbox` holds frames and set-ups that were not sent yet. A set-up is encoded when it is sent; one that never was
     sent is known not to have run. `attempts` are in flight, by session id. `suspect`: a set-up timed out on this
     connection and nothing was received since; another connection will show whether the host is alive.
-    `aborts_attempt`: the outbox holds the release of an aborted attempt.
+    `aborts_attempt`: the outbox holds the release of an aborted attempt. `has_unsent`: written data is still buffered.
     """
 
     host: HostState
@@ -47,9 +48,11 @@
     decoder: Decoder = field(default_factory=Decoder)
     outbox: list[bytes | Attempt] = field(default_factory=list)
     attempts: dict[bytes, Attempt] = field(default_factory=dict)
+    up_at: int = 0
     last_heard: int = 0
     suspect: bool = False
     aborts_attempt: bool = False
+    has_unsent: bool = False
 
     @property
     def load(self) -> int:
@@ -63,7 +66,8 @@
 
     `links` are its connections that are being dialled or are up, `sessions` those established at it, by reference.
     `link_lost`: a connection was lost, and the host repeats what it sent there on the next new connection only.
-    `last_reset`: when a connection was last reset by the host.
+    `last_reset`: when a connection was last reset by the host. `unsent_frames` could not be sent, as no connection came
+    up, and go on the next one that does.
     """
 
     server: int
@@ -79,6 +83,31 @@
     check_scheduled: bool = False
     link_lost: bool = False
     last_reset: int = -1 << 62
+    unsent_frames: dict[bytes, bytes] = field(default_factory=dict)
+
+    @property
+    def must_be_reached(self) -> bool:
+        """Whether sessions play there, or a release waits to be sent to it."""
+        if self.sessions or self.unsent_frames:
+            return True
+        queued = (one for link in self.links for one in link.outbox)
+        return any(isinstance(one, bytes) and frame_kind(one) == MessageKind.RELEASE for one in queued)
+
+    def keep_unsent(self, frame: bytes) -> None:
+        """Keep a frame for the next connection. Probes are not kept, as they have timed out by then."""
+        if frame_kind(frame) == MessageKind.TEST:
+            return
+        key = frame_key(frame)
+        self.unsent_frames.pop(key, None)
+        self.unsent_frames[key] = frame
+        while len(self.unsent_frames) > MAX_UNSENT_FRAMES:
+            del self.unsent_frames[next(iter(self.unsent_frames))]
+
+    def take_unsent(self) -> list[bytes]:
+        """Take the frames that are to go on a connection that has come up."""
+        frames = list(self.unsent_frames.values())
+        self.unsent_frames.clear()
+        return frames
 
     def up_link(self) -> Link | None:
         """A connection that is up and not suspect, None without one."""
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -13,7 +13,7 @@
 
 from ...control.node import bounds
 from ...control.node.core import NodeCore
-from ...control.node.links import Link, LinkState
+from ...control.node.links import HostState, Link, LinkState
 from ...control.node.sessions import Viewer
 from ...membership.fleet import Fleet
 from ..net import (
@@ -310,12 +310,9 @@
                 for event, fields in actions.log_lines:
                     self.log(event, fields)
                 for link in actions.dial:
-                    if not self.core.may_dial(len(self._link_scopes)):
-                        evicted = self.core.link_to_evict()
-                        if evicted is None:
-                            self.core.link_down(now(), link)
-                            continue
-                        self._close_link(evicted)
+                    if not self.core.may_dial(len(self._link_scopes)) and not self._make_room(link.host):
+                        self.core.link_down(now(), link)
+                        continue
                     scope = self._link_scopes[link] = trio.CancelScope()
                     self._nursery.start_soon(self._run_link, link, scope)
                 if actions.write_links:
@@ -339,6 +336,21 @@
         if due is not None and (self._timer_at is None or due < self._timer_at):
             self._timer_changed.set()
 
+    def _make_room(self, host: HostState) -> bool:
+        """Close another connection so that one to `host` can be opened; returns whether a descriptor is free now."""
+        for _ in range(bounds.MAX_READS_PER_TURN):
+            link = self.core.link_to_evict(now(), host)
+            if link is None:
+                return False
+            last_heard = link.last_heard
+            if not self._is_alive(link, self._host_writers[link].stream):
+                return True  # its end was unread, so it has been closed
+            if link.state is LinkState.UP and link.last_heard == last_heard:
+                self.core.link_evicted(now(), link)
+                self._end_link(link)
+                return True
+        return False
+
     def _write_link(self, link: Link) -> None:
         writer = self._host_writers.get(link)
         if writer is None or link.state is not LinkState.UP or not link.outbox:
@@ -352,6 +364,7 @@
                 return
             data, aborts_attempt = self.core.take_frames(now(), link, flooding)
             writer.write(data)
+            link.has_unsent = bool(writer.unsent)
             if flooding and link not in self._write_retries:
                 self._write_retries.add(link)
                 self._nursery.start_soon(self._retry_write, link)
@@ -362,11 +375,15 @@
             self._close_link(link)
 
     def _link_writable(self, link: Link) -> None:
+        link.has_unsent = False
         self.core.io_actions.write_links.append(link)
         self.perform_actions()
 
     def _close_link(self, link: Link, reset: bool = False) -> None:
         self.core.link_down(now(), link, reset=reset)
+        self._end_link(link)
+
+    def _end_link(self, link: Link) -> None:
         self._link_scopes.pop(link).cancel()
         self._close_stream(link)
 
--- a/copperyard/protocol/node/messages.py
+++ b/copperyard/protocol/node/messages.py
@@ -90,6 +90,16 @@
     return b"".join((_HEADER.pack(size, kind, session), *parts))
 
 
+def frame_kind(frame: bytes) -> int:
+    """The type of a message that `encode` returned, 0 if it is too short to have one."""
+    return frame[2] if len(frame) > 2 else 0
+
+
+def frame_key(frame: bytes) -> bytes:
+    """Type and session of a message that `encode` returned: a later one with the same key replaces an earlier one."""
+    return frame[2 : _HEADER.size]
+
+
 # the messages that a host may send, and their required parameters
 _REQUIRED_PARAMS: dict[int, tuple[Param, ...]] = {
     MessageKind.PROGRESS: (),
--- /dev/null
+++ b/tests/gateway/node/test_connection_limit.py
@@ -0,0 +1,117 @@
+"""All connections to hosts in use: hosts at which sessions play are still watched, and releases still reach them."""
+
+import pytest
+import trio
+
+from copperyard.control.node import bounds
+from tests.control.node.helpers import setup, sid
+from tests.gateway.node.media_hosts import run_with_fleet
+
+LIMIT = bounds.max_host_connections(64)
+TOLD_S = 8.05  # within 8 s of the end of a session whose host could not release it, and every limit is 50 ms longer
+RELEASED_S = 1.05
+
+
+@pytest.mark.parametrize("quiet", [0.0, 1.0, 4.4, 40.0])
+@pytest.mark.parametrize("count", [1, 2, LIMIT])
+def test_vanished_hosts_are_noticed_while_all_connections_are_in_use(count, quiet):
+    # guards against: checks of silent hosts that stop for want of a descriptor
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(quiet)
+        gone = harness.hosts[:count]
+        for host in gone:
+            host.vanish()
+        told = await harness.told(viewer, 12)
+        assert sorted(told) == [sid(n) for n in range(count)] and max(told.values()) <= TOLD_S
+        assert harness.connections() <= LIMIT
+
+    run_with_fleet(body, hosts=LIMIT)
+
+
+@pytest.mark.parametrize("hosts", [LIMIT + 1, LIMIT + 4, 3 * LIMIT])
+@pytest.mark.parametrize("quiet", [0.5, 20.0])
+def test_hosts_without_a_connection_are_watched_in_turn(hosts, quiet):
+    # guards against: a host whose connection was lost or given up at the bound and that nobody looks at again
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(quiet)
+        gone = harness.hosts[::4]
+        for host in gone:
+            host.vanish()
+        told = await harness.told(viewer, 12)
+        assert sorted(told) == sorted(sid(n) for n in range(0, hosts, 4)) and max(told.values()) <= TOLD_S
+        assert harness.connections() <= LIMIT
+
+    run_with_fleet(body, hosts=hosts)
+
+
+def test_watching_more_hosts_than_connections_takes_few_dials():
+    # guards against: hosts that take each other's connection in a loop
+    async def body(harness):
+        await harness.hand_over(await harness.viewer())
+        await trio.sleep(5)
+        before = len(harness.network.dials)
+        await trio.sleep(45)
+        per_check = (len(harness.network.dials) - before) / (45 / (bounds.SILENCE_TIMEOUT / bounds.SECOND))
+        assert per_check <= 1.1 * 3 * LIMIT
+
+    run_with_fleet(body, hosts=3 * LIMIT)
+
+
+@pytest.mark.parametrize("end", ["die", "end_session"])
+def test_the_end_of_a_session_at_a_host_without_a_connection_is_told(end):
+    # guards against: a release or a death that is noticed only where there is a connection
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(10)
+        alone = next(host for host in harness.hosts if not host.streams)
+        session = next(iter(alone.standing))
+        if end == "die":
+            alone.die()
+        else:
+            alone.end_session(session)
+        told = await harness.told(viewer, 12)
+        assert list(told) == [session] and told[session] <= TOLD_S
+
+    run_with_fleet(body, hosts=LIMIT + 4)
+
+
+def test_a_release_on_a_connection_that_makes_room_is_read_first():
+    # guards against: a release that lies unread on a connection when that is closed for another host
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(4.45)  # the next checks are due in a moment
+        for n, host in enumerate(harness.hosts):
+            host.end_session(sid(n))
+        told = await harness.told(viewer, 3)
+        assert len(told) == LIMIT and max(told.values()) <= RELEASED_S
+
+    run_with_fleet(body, hosts=LIMIT)
+
+
+def test_a_set_up_for_a_new_host_leaves_the_connections_of_playing_sessions():
+    # guards against: watched hosts that lose their connection to new sessions
+    async def body(harness):
+        viewer = await harness.viewer()
+        for n in range(LIMIT + 3):
+            viewer.send(setup(sid(100 + n), facts=f"home:{n};copies:1;top:1;viewer:00"))
+            assert await viewer.next() == (200 if n < LIMIT else 503)
+        assert [len(host.streams) for host in harness.hosts] == [1] * LIMIT + [0] * 3
+
+    run_with_fleet(body, hosts=LIMIT + 3)
+
+
+def test_reaching_the_bound_is_logged_once():
+    # guards against: a bound that nobody sees
+    async def body(harness):
+        await harness.hand_over(await harness.viewer())
+        await trio.sleep(30)
+        reached = [fields for event, fields in harness.lines if event == "connections to hosts at their bound"]
+        assert reached == [{"connections": LIMIT, "bound": LIMIT}]
+
+    run_with_fleet(body, hosts=LIMIT + 4)
--- a/tests/gateway/node/test_node.py
+++ b/tests/gateway/node/test_node.py
@@ -143,7 +143,7 @@
                 if not data:
                     return None
                 self.events += self.wire.receive(data)
-        one = self.events.pop(0)
+        self.last = one = self.events.pop(0)
         return one.response.status if hasattr(one, "response") else one.method
 
 
