A release that waits for a connection to its host survives a dial that fails

Cause: NodeCore.link_down kept what waited on a connection that was up, and dropped what waited on a dial; _send_to_host dropped the frame that found an outbox full. Probes are not kept: they time out.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -644,6 +644,7 @@
         """Queue a message that may go on any connection to the host."""
         link = host.up_link() or host.dialling_link() or next(iter(host.links), None) or self._dial(now, host)
         if len(link.outbox) >= bounds.MAX_LINK_OUTBOX:  # the host reads nothing, or dialling it keeps failing
+            host.keep_unsent(frame)
             return self._close_link(now, link)
         link.outbox.append(frame)
         if link.state is LinkState.UP:
@@ -735,6 +736,8 @@
                 # a lost release would leave a session open at the host
                 if previous_state is LinkState.UP and host.listed and len(unsent) < bounds.MAX_LINK_OUTBOX:
                     self._send_to_host(now, host, one)
+                elif host.listed:
+                    host.keep_unsent(one)
                 continue
             if previous_state is LinkState.UP and one.requeues < 2:
                 # an idle connection that had ended unnoticed: nothing was sent
--- a/tests/gateway/node/media_hosts.py
+++ b/tests/gateway/node/media_hosts.py
@@ -117,6 +117,13 @@
         """Accept no further connections."""
         self.listener.close()
 
+    async def accept_again(self):
+        """Accept connections again after `refuse`."""
+        self.listener = None
+        self.scope.cancel()
+        self.scope = trio.CancelScope()
+        self.harness.nursery.start_soon(self.run)
+
     def die(self):
         """The process dies: its connections are reset, and further ones refused."""
         self.refuse()
@@ -175,6 +182,13 @@
         await trio.sleep(0.2)
         assert len(self.node.core.sessions) == len(self.hosts)
 
+    async def hand_over_more(self, viewer, host, sessions):
+        """Hand over further sessions that play at a host."""
+        host.standing.update(sessions)
+        for session in sessions:
+            viewer.send(setup(session, facts=f"home:0;copies:1;top:1;viewer:00;at:{host.name}"))
+        await trio.sleep(0.1)
+
     async def told(self, viewer, seconds):
         """The sessions that the viewer is told to be over within a time, each with how long that took."""
         start, told = trio.current_time(), {}
--- a/tests/gateway/node/test_connection_limit.py
+++ b/tests/gateway/node/test_connection_limit.py
@@ -4,7 +4,7 @@
 import trio
 
 from copperyard.control.node import bounds
-from tests.control.node.helpers import setup, sid
+from tests.control.node.helpers import setup, sid, teardown
 from tests.gateway.node.media_hosts import run_with_fleet
 
 LIMIT = bounds.max_host_connections(64)
@@ -115,3 +115,21 @@
         assert reached == [{"connections": LIMIT, "bound": LIMIT}]
 
     run_with_fleet(body, hosts=LIMIT + 4)
+
+
+def test_the_release_of_a_viewer_reaches_a_host_without_a_connection():
+    # guards against: a TEARDOWN that is answered 200 and dropped for want of a descriptor
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(10)
+        alone = [host for host in harness.hosts if not host.streams]
+        sessions = [session for host in alone for session in host.standing]
+        assert len(alone) >= 3
+        for session in sessions:
+            viewer.send(teardown(session))
+        await trio.sleep(2)
+        assert [host.releases for host in alone] == [[session] for session in sessions]
+        assert not any(host.standing for host in alone)
+
+    run_with_fleet(body, hosts=LIMIT + 4)
