--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -817,7 +817,7 @@
         elif (
             now - host.last_heard >= self._silence_timeout(now)
             and host.dialling_link() is None
-            and len(host.links) < bounds.MAX_LINKS_PER_HOST
+            and len(host.links) <= bounds.MAX_LINKS_PER_HOST
         ):
             self._dial(now, host)
         self._schedule_check(now, host)
--- a/tests/gateway/node/test_connection_limit.py
+++ b/tests/gateway/node/test_connection_limit.py
@@ -133,3 +133,22 @@
         assert not any(host.standing for host in alone)
 
     run_with_fleet(body, hosts=LIMIT + 4)
+
+
+def test_a_host_with_all_its_connections_in_use_is_noticed_when_it_vanishes():
+    # guards against: the check that stops at MAX_LINKS_PER_HOST
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        (host,) = harness.hosts
+        state = next(iter(harness.node.core.hosts.values()))
+        while len(state.links) < bounds.MAX_LINKS_PER_HOST:
+            harness.node.core._dial(0, state)
+        harness.node.perform_actions()
+        await trio.sleep(0.1)
+        assert len(host.streams) == bounds.MAX_LINKS_PER_HOST
+        host.vanish()
+        told = await harness.told(viewer, 12)
+        assert list(told) == [sid(0)] and told[sid(0)] <= TOLD_S
+
+    run_with_fleet(body, hosts=1)
