Out of descriptors of the system, an idle connection makes room for a check

Cause: Node._run_link reports an error of this machine, which says nothing about the host, and NodeCore._check_host repeats the dial to no end.

--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -18,6 +18,7 @@
 from ...membership.fleet import Fleet
 from ..net import (
     CONNECTION_ERRORS,
+    RESOURCE_ERRNOS,
     AutoResetEvent,
     DatagramSocket,
     Listener,
@@ -558,7 +559,7 @@
             with scope:
                 with trio.move_on_after(self.core.settings.connect_timeout / 1e9):
                     try:
-                        stream = await self.network.connect(link.host.address)
+                        stream = await self._connect(link.host)
                     except ConnectionRefusedError:
                         refused = True
                     except OSError as error:  # an error of this machine says nothing about the host
@@ -585,6 +586,15 @@
             self.core.link_down(now(), link, refused, stream is None and not refused and not local, reset)
             self.perform_actions()
 
+    async def _connect(self, host: HostState) -> Stream:
+        """Connect to a host. If the system is out of descriptors, an idle connection makes room for another try."""
+        try:
+            return await self.network.connect(host.address)
+        except OSError as error:
+            if error.errno not in RESOURCE_ERRNOS or not self._make_room(host):
+                raise
+        return await self.network.connect(host.address)
+
     async def _read_link(self, link: Link, stream: Stream) -> bool:
         """Read to the end of the connection; returns whether the peer reset it."""
         while link.state in (LinkState.UP, LinkState.HALF_CLOSED):
--- a/tests/gateway/node/test_connection_limit.py
+++ b/tests/gateway/node/test_connection_limit.py
@@ -152,3 +152,22 @@
         assert list(told) == [sid(0)] and told[sid(0)] <= TOLD_S
 
     run_with_fleet(body, hosts=1)
+
+
+@pytest.mark.parametrize("lasts", [2.0, 60.0])
+def test_a_vanished_host_is_noticed_while_the_system_gives_no_more_descriptors(lasts):
+    # guards against: checks that stop while the system, not the settings, is the bound
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(1)
+        harness.network.descriptors = len(harness.hosts)
+        harness.hosts[0].vanish()
+        with trio.move_on_after(lasts) as waiting:
+            told = await harness.told(viewer, 12)
+        if waiting.cancelled_caught:
+            harness.network.descriptors = None
+            told = await harness.told(viewer, 12 - lasts)
+        assert list(told) == [sid(0)] and told[sid(0)] + (lasts if waiting.cancelled_caught else 0) <= TOLD_S
+
+    run_with_fleet(body, hosts=4)
