Answers of a slow name service are taken, and it is not queried faster for being slow

Cause: NameServiceClient._send_queries kept the ids of 8 queries, and QueryPacer sent one each 200 to 250 ms while none was answered, so an id was forgotten after 2 s.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -18,7 +18,7 @@
 MAX_LINK_OUTBOX = 1024  # frames and set-ups queued on one connection to a host
 MAX_UNSENT_FRAMES = 4096  # frames kept for one host while no connection to it comes up
 MAX_DATAGRAMS_PER_TURN = 64  # datagrams of the name service read in one turn
-MAX_OPEN_QUERIES = 8  # queries to the name service whose answers are still accepted
+MAX_OPEN_QUERIES = 48  # queries to the name service whose answers are accepted; a forged one has to match its id
 MAX_VIEWER_UNSENT_BYTES = 1 << 18  # unsent bytes on one viewer connection, above which it is closed
 MAX_HOST_UNSENT_BYTES = 1 << 22  # the same for a connection to a host; what is written at once is far less
 # bytes read and discarded after a last answer: the 60 MB of a misbehaving client, with a margin
--- a/copperyard/gateway/node/follow.py
+++ b/copperyard/gateway/node/follow.py
@@ -9,13 +9,14 @@
 
 from ...control.node import bounds
 from ...control.node.core import NodeCore
+from ...membership.open_queries import OpenQueries
 from ...membership.query_pacer import QueryPacer
 from ...protocol.node.fleet import HostListError, encode_query, parse_answer
 from ..net import DatagramSocket, now, trio_deadline
 
 
 class NameServiceClient:
-    """Polls the name service and applies every valid answer to one of the last queries."""
+    """Polls the name service and applies every valid answer to an open query, unless it holds an older list."""
 
     def __init__(
         self,
@@ -33,7 +34,7 @@
             perform_actions,
         )
         self._socket: DatagramSocket | None = None
-        self._open_queries: dict[int, None] = {}
+        self._open_queries = OpenQueries(bounds.MAX_OPEN_QUERIES)
         self._pacer = QueryPacer(rng)
         self._last_answer = b""
         self._scope: trio.CancelScope | None = None
@@ -76,9 +77,7 @@
             if now() < self._pacer.due:
                 continue  # an answer came meanwhile and postponed the query
             query_id = self.rng.getrandbits(16)
-            self._open_queries[query_id] = None
-            while len(self._open_queries) > bounds.MAX_OPEN_QUERIES:
-                del self._open_queries[next(iter(self._open_queries))]
+            self._open_queries.sent(now(), query_id)
             try:
                 socket.send_now(encode_query(query_id))
             except ConnectionRefusedError:
@@ -111,17 +110,16 @@
         if query_id not in self._open_queries:
             return
         if data[2:] == self._last_answer:  # the same list with another query id, as most answers are
-            del self._open_queries[query_id]
-            self._pacer.answer_received()
+            self._pacer.answer_received(self._open_queries.answered(now(), query_id))
             return
         try:
             serial, hosts = parse_answer(data, query_id)
         except HostListError as error:
             self.core.log_line("name service", text=f"an answer {error}"[:200])
             return
-        del self._open_queries[query_id]
+        response_time = self._open_queries.answered(now(), query_id)
         if serial < self.core.fleet.serial:
             return  # an older list may lack changes, so the query counts as unanswered
-        self._pacer.answer_received()
+        self._pacer.answer_received(response_time)
         self._last_answer = data[2:]
         self.core.list_received(now(), serial, hosts)
--- a/copperyard/membership/query_pacer.py
+++ b/copperyard/membership/query_pacer.py
@@ -12,32 +12,41 @@
 RETRY_INTERVAL = 150 * MS  # after a query without a valid answer, for the first FAST_RETRIES
 SLOW_RETRY_INTERVAL = 250 * MS  # the same after that: the service is down, and all fronts query it when it is back
 FAST_RETRIES = 3
+RESPONSE_TIME_MARGIN = 1.25  # factor on the response time after which a query of a slow service counts as unanswered
+RESPONSE_TIME_DECAY = 0.75  # factor by which one faster answer lowers the response time at most
 JITTER_RATIO = 0.2  # share by which intervals are shortened at random, so that fronts started together spread out
 
 
 class QueryPacer:
-    """Paces queries to one service, with short intervals while the last ones are unanswered."""
+    """Paces queries to one service, with short intervals while the last ones are unanswered.
+
+    A slow service is given the time that its answers take before a query to it is repeated, but no more than
+    QUERY_INTERVAL, so that it is not queried faster than one that answers at once.
+    """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._last_query = self._due = 0
-        self._unanswered = 0
+        self._unanswered = self._response_time = 0
 
     def query_sent(self, now: int) -> None:
         """A query was sent at `now`."""
         self._last_query = now
         self._unanswered += 1
-        self._due = now + self._with_jitter(RETRY_INTERVAL if self._unanswered <= FAST_RETRIES else SLOW_RETRY_INTERVAL)
+        retry_interval = RETRY_INTERVAL if self._unanswered <= FAST_RETRIES else SLOW_RETRY_INTERVAL
+        answer_expected = min(QUERY_INTERVAL, int(RESPONSE_TIME_MARGIN * self._response_time))
+        self._due = now + self._with_jitter(max(retry_interval, answer_expected))
 
-    def answer_received(self) -> None:
-        """A valid answer to one of the last queries came."""
+    def answer_received(self, response_time: int = 0) -> None:
+        """A valid answer to one of the last queries came, `response_time` (ns) after it was sent."""
+        self._response_time = max(response_time, int(RESPONSE_TIME_DECAY * self._response_time))
         if self._unanswered:
             self._unanswered = 0
             self._due = self._last_query + self._with_jitter(QUERY_INTERVAL)
 
     def reset(self) -> None:
         """Query again at once: the service was replaced by another one."""
-        self._unanswered = self._due = 0
+        self._unanswered = self._due = self._response_time = 0
 
     @property
     def due(self) -> int:
