--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -52,6 +52,7 @@
 from ..timers import Timers
 from . import bounds
 from .connection_limit import ConnectionLimit, link_to_evict
+from .idle_viewers import IdleViewers
 from .links import HostState, Link, LinkState, PendingProbe
 from .notices import Notice, NoticeDelivery
 from .sessions import Attempt, Session, Viewer
@@ -101,6 +102,7 @@
         self.notices = NoticeDelivery(
             self.viewers, self._write_viewer, min(platform.max_held, bounds.MAX_WAITING_NOTICES)
         )
+        self._idle_viewers = IdleViewers(self.viewers, self.sessions, self.notices)
         self.moved_viewers: dict[str, None] = {}
         self.ended_sessions: dict[bytes, HostState] = {}
         self.ready = False
@@ -108,8 +110,6 @@
         self._last_number = 0
         self._accept_until: int | None = None
         self._next_sweep = 0
-        self._logged_notices = (0, 0, 0)
-        self._next_notice_log = 0
         self._viewer_limit = ConnectionLimit(
             "clients' connections", bounds.max_viewer_connections(sockets), self.log_line
         )
@@ -329,35 +329,14 @@
             self._write_viewer(viewer)
 
     def viewer_to_evict(self) -> Viewer | None:
-        """The viewer connection that may be closed to make room: one without a request, else the one idle longest, if
-        possible without sessions. Never one with unsent data, as closing it would truncate an answer.
-        """
-        idle = [viewer for viewer in self.viewers if not viewer.open_setups and not viewer.has_unsent]
-        return min(idle, key=_eviction_order) if idle else None
+        """The viewer connection that may be closed to make room, None without one."""
+        return self._idle_viewers.to_evict()
 
     def viewers_to_close(self, now: int) -> list[Viewer]:
         """The connections that the next sweep will close, if it is due. The caller of `run_timers` reads unread data
         of these first, so that a request that came in time is served instead.
         """
-        return [viewer for viewer in self.viewers if self._is_overdue(now, viewer)] if now >= self._next_sweep else []
-
-    def _is_overdue(self, now: int, viewer: Viewer) -> bool:
-        if viewer.open_setups or viewer.closing:
-            return False
-        if not viewer.has_requested:
-            return now - viewer.connected_at >= bounds.FIRST_REQUEST_TIMEOUT
-        return now - viewer.last_active_at >= bounds.VIEWER_IDLE_TIMEOUT and not self._is_needed(viewer)
-
-    def _is_needed(self, viewer: Viewer) -> bool:
-        """Whether the end of a session may have to be told on this connection, as no other one is better."""
-        if viewer.established_sessions:
-            return True
-        if viewer is not self.notices.expected_connection():
-            return False
-        return bool(self.notices.waiting) or any(
-            session.established and session.viewer is not None and not session.viewer.is_open
-            for session in self.sessions.values()
-        )
+        return self._idle_viewers.overdue(now) if now >= self._next_sweep else []
 
     def _sweep(self, now: int) -> None:
         for viewer in self.viewers_to_close(now):
@@ -371,13 +350,9 @@
 
     def _log_notices(self, now: int) -> None:
         """Log at times that notices wait for a connection, or that some were late or dropped."""
-        counts = self.notices.counts
-        state = len(self.notices.waiting), counts.late, counts.dropped
-        if state[0] + state[1] + state[2] == 0 or state == self._logged_notices or now < self._next_notice_log:
-            return
-        self._logged_notices = state
-        self._next_notice_log = now + bounds.NOTICE_LOG_INTERVAL
-        self.log_line("notices to viewers", waiting=state[0], late=state[1], dropped=state[2])
+        counts = self.notices.counts_to_log(now)
+        if counts is not None:
+            self.log_line("notices to viewers", waiting=counts.waiting, late=counts.late, dropped=counts.dropped)
 
     def _handle_request(self, now: int, viewer: Viewer, request: rtsp.Request) -> None:
         viewer.last_active_at = now
@@ -1075,7 +1050,3 @@
 
 def _encode_release(session: bytes, cause: int) -> bytes:
     return encode(MessageKind.RELEASE, session, ((Param.CAUSE, bytes((cause,))),))
-
-
-def _eviction_order(viewer: Viewer) -> tuple[bool, bool, bool, int]:
-    return bool(viewer.established_sessions), viewer.is_read, viewer.has_requested, viewer.last_active_at
--- a/copperyard/control/node/notices.py
+++ b/copperyard/control/node/notices.py
@@ -26,10 +26,11 @@
     written_at: int = -1
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class NoticeCounts:
-    """Notices since the start: written after they were due, and dropped because too many were waiting."""
+    """Notices that wait, and those since the start that were written after they were due or dropped."""
 
+    waiting: int = 0
     late: int = 0
     dropped: int = 0
 
@@ -40,7 +41,9 @@
     def __init__(self, viewers: Mapping[Viewer, None], write: Callable[[Viewer], None], capacity: int) -> None:
         self._viewers, self._write, self._capacity = viewers, write, capacity
         self.waiting: deque[Notice] = deque()
-        self.counts = NoticeCounts()
+        self.late = self.dropped = 0
+        self._logged = NoticeCounts()
+        self._next_log = 0
         self.shutting_down = False
 
     def post(self, now: int, notice: Notice, own: Viewer | None) -> None:
@@ -73,7 +76,7 @@
         for notice in viewer.unconfirmed:
             if notice.written_at < 0:
                 notice.written_at = viewer.last_active_at = now
-                self.counts.late += now > notice.due
+                self.late += now > notice.due
         if viewer.has_unsent:
             return
         if viewer.is_read:
@@ -115,6 +118,14 @@
         due = min((notice.due for notice in self.waiting if notice.due > now), default=None)
         return None if due is None else max(due, now + bounds.NOTICE_CHECK_INTERVAL)
 
+    def counts_to_log(self, now: int) -> NoticeCounts | None:
+        """The counts, if they have changed and were not logged for a while."""
+        counts = NoticeCounts(len(self.waiting), self.late, self.dropped)
+        if counts in (self._logged, NoticeCounts()) or now < self._next_log:
+            return None
+        self._logged, self._next_log = counts, now + bounds.NOTICE_LOG_INTERVAL
+        return counts
+
     def expected_connection(self) -> Viewer | None:
         """The connection that the next notice would be sent on: one known to be read, else the one tested last."""
         tested = [viewer for viewer in self._viewers if viewer.has_tested and viewer.is_open]
@@ -140,7 +151,7 @@
 
     def _drop_oldest(self) -> None:
         self.waiting.popleft()
-        self.counts.dropped += 1
+        self.dropped += 1
 
     def _overdue(self, now: int) -> list[Notice]:
         return [notice for notice in self.waiting if self.shutting_down or notice.due <= now]
--- a/tests/control/node/test_notices.py
+++ b/tests/control/node/test_notices.py
@@ -332,7 +332,7 @@
     driver.hang_up(viewer)
     (link,) = driver.dialled
     host_dies(driver, link)
-    assert len(driver.core.pending_notices) == 3000 and driver.core.notices.counts.dropped == 0
+    assert len(driver.core.pending_notices) == 3000 and driver.core.notices.dropped == 0
     back = driver.viewer()
     ping(driver, back)
     driver.send(back, PING)
@@ -348,7 +348,7 @@
     adopt(driver, viewer, 150)
     driver.hang_up(viewer)
     host_dies(driver, driver.dialled[0])
-    assert len(driver.core.pending_notices) == 100 and driver.core.notices.counts.dropped == 50
+    assert len(driver.core.pending_notices) == 100 and driver.core.notices.dropped == 50
     driver.advance(1)
     assert ("notices to viewers", {"waiting": 100, "late": 0, "dropped": 50}) in driver.lines
 
--- a/tests/control/node/test_planted_defects.py
+++ b/tests/control/node/test_planted_defects.py
@@ -4,6 +4,7 @@
 
 from copperyard.control.node import connection_limit, core, notices
 from copperyard.control.node.core import NodeCore
+from copperyard.control.node.idle_viewers import IdleViewers
 from copperyard.control.node.links import HostState, LinkState
 from copperyard.control.node.notices import NoticeDelivery
 from copperyard.interface import OutcomeCode
@@ -30,7 +31,7 @@
 
 
 def close_idle_connections_of_sessions(patch):
-    patch.setattr(NodeCore, "_is_needed", lambda self, viewer: False)
+    patch.setattr(IdleViewers, "_is_needed", lambda self, viewer: False)
     patch.setattr(NoticeDelivery, "send_overdue", nothing)
 
 
