Only releases are kept for a host without a connection, not rungs: a rung is not worth a dial

Need: no more dials than before. HostState.unsent_frames kept RUNG messages, too, so a host where nothing of ours plays any more could be dialled for a rung. Change: unsent_releases. Measured: tests of control/node and gateway/node, 317 pass.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -166,7 +166,7 @@
     @property
     def has_unsent(self) -> bool:
         """Whether any message to a host waits for its connection."""
-        return any(host.unsent_frames or any(link.outbox for link in host.links) for host in self.hosts.values())
+        return any(host.unsent_releases or any(link.outbox for link in host.links) for host in self.hosts.values())
 
     def may_accept(self, connections: int) -> bool:
         """Whether one more connection of a viewer may be accepted beside `connections`. Over the limit it replaces
@@ -753,7 +753,7 @@
 
     def _host_lost(self, now: int, host: HostState) -> None:
         """A host's process or machine is gone, and all its sessions with it."""
-        host.unsent_frames.clear()
+        host.unsent_releases.clear()
         if host.sessions or host.links:
             self.log_line("host lost", host=host.name, sessions=len(host.sessions), listed=int(host.listed))
         for session in list(host.sessions.values()):
@@ -830,12 +830,12 @@
                 self._send_to_host(now, link.host, _encode_release(id, Cause.NORMAL))
 
     def _ensure_link(self, now: int, host: HostState) -> None:
-        """Dial a host that holds sessions, or for which frames wait, if it has no connection, or none opened since one
-        was lost.
+        """Dial a host that holds sessions, or for which releases wait, if it has no connection, or none opened since
+        one was lost.
 
         Dials are rate-limited. They are needed as the host repeats its releases on a new connection only.
         """
-        if not host.sessions and not host.unsent_frames:
+        if not host.sessions and not host.unsent_releases:
             return
         if host.links and (not host.link_lost or host.dialling_link() is not None):
             return
--- a/copperyard/control/node/links.py
+++ b/copperyard/control/node/links.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ...protocol.node.messages import Decoder, MessageKind, frame_key, frame_kind
-from .bounds import MAX_UNSENT_FRAMES
+from .bounds import MAX_UNSENT_RELEASES
 
 if TYPE_CHECKING:
     from .sessions import Attempt, Session
@@ -66,8 +66,8 @@
 
     `links` are its connections that are being dialled or are up, `sessions` those established at it, by reference.
     `link_lost`: a connection was lost, and the host repeats what it sent there on the next new connection only.
-    `last_reset`: when a connection was last reset by the host. `unsent_frames` could not be sent, as no connection came
-    up, and go on the next one that does.
+    `last_reset`: when a connection was last reset by the host. `unsent_releases` could not be sent, as no connection
+    came up, and go on the next one that does.
     """
 
     server: int
@@ -83,30 +83,32 @@
     check_scheduled: bool = False
     link_lost: bool = False
     last_reset: int = -1 << 62
-    unsent_frames: dict[bytes, bytes] = field(default_factory=dict)
+    unsent_releases: dict[bytes, bytes] = field(default_factory=dict)
 
     @property
     def must_be_reached(self) -> bool:
         """Whether sessions play there, or a release waits to be sent to it."""
-        if self.sessions or self.unsent_frames:
+        if self.sessions or self.unsent_releases:
             return True
         queued = (one for link in self.links for one in link.outbox)
         return any(isinstance(one, bytes) and frame_kind(one) == MessageKind.RELEASE for one in queued)
 
     def keep_unsent(self, frame: bytes) -> None:
-        """Keep a frame for the next connection. Probes are not kept, as they have timed out by then."""
-        if frame_kind(frame) == MessageKind.TEST:
+        """Keep a frame for the next connection, if it is a release. A probe has timed out by then, and a rung is not
+        worth a connection.
+        """
+        if frame_kind(frame) != MessageKind.RELEASE:
             return
         key = frame_key(frame)
-        self.unsent_frames.pop(key, None)
-        self.unsent_frames[key] = frame
-        while len(self.unsent_frames) > MAX_UNSENT_FRAMES:
-            del self.unsent_frames[next(iter(self.unsent_frames))]
+        self.unsent_releases.pop(key, None)
+        self.unsent_releases[key] = frame
+        while len(self.unsent_releases) > MAX_UNSENT_RELEASES:
+            del self.unsent_releases[next(iter(self.unsent_releases))]
 
     def take_unsent(self) -> list[bytes]:
-        """Take the frames that are to go on a connection that has come up."""
-        frames = list(self.unsent_frames.values())
-        self.unsent_frames.clear()
+        """Take the releases that are to go on a connection that has come up."""
+        frames = list(self.unsent_releases.values())
+        self.unsent_releases.clear()
         return frames
 
     def up_link(self) -> Link | None:
--- a/tests/gateway/node/test_host_releases.py
+++ b/tests/gateway/node/test_host_releases.py
@@ -56,7 +56,7 @@
         viewer.send(teardown(sid(0)))
         await trio.sleep(10)
         dials = len(harness.network.dials)
-        assert not any(state.unsent_frames for state in harness.node.core.hosts.values())
+        assert not any(state.unsent_releases for state in harness.node.core.hosts.values())
         await trio.sleep(10)
         assert host.address not in [address for _, address in harness.network.dials[dials:]]
 
