A host that has left the list keeps its last connection at the bound

Seen on reading the change again, by a probe on: link_to_evict named the connection of a host that the list no longer has, where sessions played. Such a host is not dialled again, so that its sessions were told over 6 s later. Also new: tests of the order in which connections make room, and of a release that lies unread on one.

--- a/copperyard/control/node/connection_limit.py
+++ b/copperyard/control/node/connection_limit.py
@@ -33,19 +33,26 @@
     Nothing waits or is in flight on it. First those to hosts where no session of this node plays, then those to hosts
     that have another one. If `dialled` must be reached, as sessions play there or a release waits for it, its own
     connection comes next, which the new one replaces, and then the one of another host that was heard from longest
-    ago: that host will be checked soon, and sends what it has to say on the connection opened then.
+    ago: that host will be checked soon, and sends what it has to say on the connection opened then. A host that has
+    left the list is not connected to again, so that it keeps its last connection.
     """
-    idle = [link for host in hosts for link in host.links if _is_idle(link)]
+    idle = [link for host in hosts for link in idle_links(host)]
     choices = [
         [link for link in idle if not link.host.must_be_reached],
         [link for link in idle if _has_other(link)],
     ]
     if dialled is not None and dialled.must_be_reached:
         choices.append([link for link in idle if link.host is dialled])
-        choices.append([link for link in idle if now - link.up_at >= bounds.MIN_LINK_UPTIME])
+        settled = [link for link in idle if now - link.up_at >= bounds.MIN_LINK_UPTIME]
+        choices.append([link for link in settled if link.host.listed])
     return next((min(links, key=_heard_order) for links in choices if links), None)
 
 
+def idle_links(host: HostState) -> list[Link]:
+    """The connections to a host on which nothing waits or is in flight, the one heard from longest ago first."""
+    return sorted(filter(_is_idle, host.links), key=_heard_order)
+
+
 def _is_idle(link: Link) -> bool:
     return link.state is LinkState.UP and not link.attempts and not link.outbox and not link.has_unsent
 
--- a/tests/gateway/node/media_hosts.py
+++ b/tests/gateway/node/media_hosts.py
@@ -13,7 +13,7 @@
 from copperyard.gateway.node.place import parse_config
 from copperyard.lab import virtual
 from copperyard.lab.memnet import MemoryNetwork
-from copperyard.protocol.node.messages import Cause, MessageKind
+from copperyard.protocol.node.messages import Cause, MessageKind, Param, encode
 from tests.control.node.helpers import OPTIONS, answer, messages, release, setup, sid
 from tests.gateway.node.test_node import NameServer, Viewer, member
 
@@ -21,6 +21,12 @@
 IDLE_S = 15.0
 
 
+def note(session):
+    """A host's note on a session that plays."""
+    params = ((Param.NOTE, b"share"), (Param.FIGURE, b"1.0"))
+    return encode(MessageKind.NOTE, bytes.fromhex(session), params)
+
+
 class FleetNetwork(MemoryNetwork):
     """A network on which machines vanish. `dials` has (time, address) of each connection that was asked for;
     `descriptors` is how many connections to hosts the system opens at a time, None for any number."""
@@ -28,7 +34,7 @@
     def __init__(self):
         super().__init__()
         self.vanished, self.dials, self.descriptors = set(), [], None
-        self.open_streams = []
+        self.open_streams, self.open_at_once = [], []
 
     async def connect(self, address):
         if not address.endswith(":2905"):
@@ -40,6 +46,7 @@
             await trio.sleep_forever()
         stream = await super().connect(address)
         self.open_streams.append(stream)
+        self.open_at_once.append(sum(not one._closed for one in self.open_streams))
         return stream
 
 
@@ -49,7 +56,7 @@
     def __init__(self, harness, number):
         self.harness, self.name, self.address = harness, f"s-{number}", f"127.0.0.1:{9000 + number}"
         self.streams, self.standing, self.releases, self.unrepeated, self.setups = [], set(), [], [], []
-        self.listener, self.silent = None, False
+        self.listener, self.silent, self.last_sent = None, False, -IDLE_S
         self.scope = trio.CancelScope()
 
     async def run(self):
@@ -74,6 +81,8 @@
             while not self.silent:
                 with trio.move_on_after(IDLE_S) as idle:
                     more = await stream.receive_some(65536)
+                if idle.cancelled_caught and trio.current_time() - self.last_sent < IDLE_S:
+                    continue
                 if idle.cancelled_caught or not more:
                     break
                 data += more
@@ -107,6 +116,14 @@
         if self.streams:
             self.streams[0].send_now(frame)
 
+    async def play(self, session, interval):
+        """Send a note on a session each `interval` s while that plays, as hosts do."""
+        while session in self.standing and not self.silent:
+            for stream in self.streams[:1]:
+                stream.send_now(note(session))
+                self.last_sent = trio.current_time()
+            await trio.sleep(interval)
+
     def close_connections(self):
         """Close all connections in order, as a host does with idle ones."""
         for stream in self.streams:
--- a/tests/gateway/node/test_connection_limit.py
+++ b/tests/gateway/node/test_connection_limit.py
@@ -2,9 +2,14 @@
 
 import pytest
 import trio
+import trio.testing
 
 from copperyard.control.node import bounds
-from tests.control.node.helpers import setup, sid, teardown
+from copperyard.control.node.connection_limit import link_to_evict
+from copperyard.control.node.links import HostState, Link, LinkState
+from copperyard.gateway.net import now
+from tests.control.node.helpers import host as listed_host
+from tests.control.node.helpers import release, setup, sid, teardown
 from tests.gateway.node.media_hosts import run_with_fleet
 
 LIMIT = bounds.max_host_connections(64)
@@ -171,3 +176,82 @@
         assert list(told) == [sid(0)] and told[sid(0)] + (lasts if waiting.cancelled_caught else 0) <= TOLD_S
 
     run_with_fleet(body, hosts=4)
+
+
+def test_a_host_that_left_the_list_keeps_its_connection_while_sessions_play_there():
+    # guards against: sessions told over, as the connection of a host that is not dialled any more made room
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(2)
+        core = harness.node.core
+        gone = next(host for host in harness.hosts if host.streams)
+        listed = tuple(listed_host(n) for n, host in enumerate(harness.hosts) if host is not gone)
+        core.list_received(now(), 2, listed)
+        harness.node.perform_actions()
+        harness.nursery.start_soon(gone.play, sid(harness.hosts.index(gone)), 5)
+        told = await harness.told(viewer, 25)
+        assert told == {} and len(gone.streams) == 1
+
+    run_with_fleet(body, hosts=LIMIT + 4)
+
+
+def test_an_unread_release_is_taken_from_a_connection_before_that_makes_room():
+    # guards against: a release that has arrived and is closed away unread
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        await trio.sleep(2)
+        core = harness.node.core
+        first = core.link_to_evict(now(), next(iter(core.hosts.values())))
+        other = next(state for state in core.hosts.values() if state is not first.host)
+        for link in other.links:
+            link.suspect = True
+        chosen = core.link_to_evict(now(), other)
+        host = next(one for one in harness.hosts if one.name == chosen.host.name)
+        session = next(iter(host.standing))
+        host.end_session(session)
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(0.01)  # it has arrived, and no task has read it
+        assert harness.node._make_room(other)
+        assert session not in {one.id_text for one in core.sessions.values()}
+
+    run_with_fleet(body, hosts=LIMIT)
+
+
+def idle_link(state, number, heard, up_at=0):
+    link = Link(state, number, 0, LinkState.UP, up_at=up_at, last_heard=heard)
+    state.links.append(link)
+    return link
+
+
+def playing_host(number):
+    state = HostState(number, f"s-{number}", f"127.0.0.1:{9000 + number}")
+    state.keep_unsent(release(sid(number)))  # as a session there, it makes a host one that must be reached
+    return state
+
+
+def test_which_connection_makes_room():
+    # guards against: a connection that is in use, or has just come up, closed for another host
+    second_ns = bounds.SECOND
+    empty, double, single, dialled = HostState(0, "s-0", ""), playing_host(1), playing_host(2), playing_host(3)
+    hosts = [empty, double, single, dialled]
+    unused = idle_link(empty, 1, 50)
+    second, first = idle_link(double, 3, 40), idle_link(double, 2, 30)
+    only, own = idle_link(single, 4, 10), idle_link(dialled, 5, 20)
+    now_ns = 10 * second_ns
+    order = []
+    while (link := link_to_evict(now_ns, hosts, dialled)) is not None:
+        order.append(link)
+        link.host.links.remove(link)
+    assert order == [unused, first, own, only, second]
+    for state in hosts:
+        state.links.clear()
+    idle_link(single, 6, 10).has_unsent = True
+    idle_link(double, 7, 10, up_at=now_ns - second_ns // 2)
+    assert link_to_evict(now_ns, hosts, dialled) is None
+    assert link_to_evict(now_ns + second_ns, hosts, dialled) is double.links[0]
+    assert link_to_evict(now_ns + second_ns, hosts) is None
+    double.listed = False
+    assert link_to_evict(now_ns + second_ns, hosts, dialled) is None
