A silent host is checked however many connections to it are open

Seen on reading the change again, by a probe on: with five connections to one host, four and one that a check had left, no dial in 8 s of silence, so that the host's end would never be noticed. Cause: moved the bound of NodeCore._check_host by one, and a check that comes up while the others are busy stays. Change: over the bound an idle connection makes room for the check, half-closed and read to its end; busy ones are idle once their set-ups have timed out. One connection beyond MAX_LINKS_PER_HOST at most, as before. Measured: `connections_left_by_checks[5]` fails on the commit before; it and [4] pass now.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -51,7 +51,7 @@
 from ..controller_driver import ControllerDriver
 from ..timers import Timers
 from . import bounds
-from .connection_limit import ConnectionLimit, link_to_evict
+from .connection_limit import ConnectionLimit, idle_links, link_to_evict
 from .idle_viewers import IdleViewers
 from .links import HostState, Link, LinkState, PendingProbe
 from .notices import Notice, NoticeDelivery
@@ -789,14 +789,18 @@
         if not host.listed:
             if now - host.last_heard >= bounds.UNLISTED_SILENCE_TIMEOUT:
                 return self._host_lost(now, host)
-        elif (
-            now - host.last_heard >= self._silence_timeout(now)
-            and host.dialling_link() is None
-            and len(host.links) <= bounds.MAX_LINKS_PER_HOST
-        ):
-            self._dial(now, host)
+        elif now - host.last_heard >= self._silence_timeout(now) and host.dialling_link() is None:
+            self._dial_check(now, host)
         self._schedule_check(now, host)
 
+    def _dial_check(self, now: int, host: HostState) -> None:
+        """Dial a silent host by one connection beyond the bound at most: over that, an idle one makes room first."""
+        if len(host.links) > bounds.MAX_LINKS_PER_HOST:
+            for link in idle_links(host)[:1]:
+                self._half_close(link)
+        if len(host.links) <= bounds.MAX_LINKS_PER_HOST:
+            self._dial(now, host)
+
     def _suspect_hosts(self, now: int) -> None:
         """A host is silent: check the others sooner for a while, as hosts of one zone or rack often fail together.
 
--- a/tests/gateway/node/test_connection_limit.py
+++ b/tests/gateway/node/test_connection_limit.py
@@ -196,6 +196,26 @@
     run_with_fleet(body, hosts=LIMIT + 4)
 
 
+@pytest.mark.parametrize("connections", [bounds.MAX_LINKS_PER_HOST, bounds.MAX_LINKS_PER_HOST + 1])
+def test_a_host_with_connections_left_by_checks_is_noticed_when_it_vanishes(connections):
+    # guards against: the check that stops one connection beyond MAX_LINKS_PER_HOST
+    async def body(harness):
+        viewer = await harness.viewer()
+        await harness.hand_over(viewer)
+        (host,) = harness.hosts
+        state = next(iter(harness.node.core.hosts.values()))
+        while len(state.links) < connections:
+            harness.node.core._dial(now(), state)
+        harness.node.perform_actions()
+        await trio.sleep(0.1)
+        host.vanish()
+        told = await harness.told(viewer, 12)
+        assert list(told) == [sid(0)] and told[sid(0)] <= TOLD_S
+        assert max(harness.network.open_at_once) <= connections + 1
+
+    run_with_fleet(body, hosts=1)
+
+
 def test_an_unread_release_is_taken_from_a_connection_before_that_makes_room():
     # guards against: a release that has arrived and is closed away unread
     async def body(harness):
