Notices: bounded repeats on connections that only test, buffered ones count from when they left

Seen on reading the change again, by probes on: 200 short test connections were each sent the notice of the same absent viewer; a notice that lay 3 s in a full buffer, left, and was reset a moment later was held for told; a notice that came back after its retention was kept all the same. Cause: NoticeDelivery.connection_ended gave an unproven notice to the next such connection without a bound; written() stamped the first write, not the end of the buffer; _wait dropped before it appended. Change: two writes of a notice at most to connections not known to be read, after that it waits for one that is; the stamp is renewed while data was buffered; dropping comes after appending. Measured: 3 tests of tests/control/node/test_notices.py fail on the commit before and pass now.

--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -15,6 +15,7 @@
 MAX_ENDED_SESSIONS = 2048  # ids of ended sessions, to recognise messages that crossed their end
 MAX_WAITING_NOTICES = 16384  # notices to viewers that wait for a connection that is being read
 MAX_NOTICES_PER_WRITE = 256  # notices written to one connection before the next ones wait until it has taken them
+MAX_UNPROVEN_WRITES = 2  # writes of one notice to connections that are not known to be read
 MAX_LINK_OUTBOX = 1024  # frames and set-ups queued on one connection to a host
 MAX_UNSENT_RELEASES = 4096  # releases kept for one host while no connection to it comes up
 MAX_DATAGRAMS_PER_TURN = 64  # datagrams of the name service read in one turn
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -299,8 +299,7 @@
 
     def outbox_written(self, now: int, viewer: Viewer, has_unsent: bool) -> None:
         """What `Viewer.take_outbox` returned was written; `has_unsent`: some of it is buffered still."""
-        viewer.has_unsent = has_unsent
-        self.notices.written(now, viewer)
+        self.notices.written(now, viewer, has_unsent)
 
     def _close_viewer(self, now: int, viewer: Viewer, status: int, text: str) -> None:
         """Close a connection after a protocol error or a limit, with response `status` unless 0. Its open set-ups get
--- a/copperyard/control/node/notices.py
+++ b/copperyard/control/node/notices.py
@@ -19,11 +19,14 @@
 
 @dataclass(eq=False, slots=True)
 class Notice:
-    """A message that a viewer is owed. `due` is when it must have been written (ns); `written_at` is -1 before that."""
+    """A message that a viewer is owed. `due` is when it must have been written (ns); `written_at` is -1 before that.
+    `unproven_writes` are those to connections that were not known to be read.
+    """
 
     data: bytes
     due: int
     written_at: int = -1
+    unproven_writes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,13 +74,19 @@
         if self.waiting and self._known_reader() is None:
             self._send_waiting(now, viewer, self._overdue(now))
 
-    def written(self, now: int, viewer: Viewer) -> None:
-        """Bytes were written to the connection, the notices that `Viewer.take_outbox` returned among them."""
+    def written(self, now: int, viewer: Viewer, has_unsent: bool) -> None:
+        """Bytes were written to the connection, the notices that `Viewer.take_outbox` returned among them.
+
+        `has_unsent`: some of them, or of those before, are still buffered.
+        """
+        was_buffered, viewer.has_unsent = viewer.has_unsent, has_unsent
         for notice in viewer.unconfirmed:
             if notice.written_at < 0:
-                notice.written_at = viewer.last_active_at = now
                 self.late += now > notice.due
-        if viewer.has_unsent:
+                notice.unproven_writes += not viewer.is_read
+            if notice.written_at < 0 or was_buffered:
+                notice.written_at = viewer.last_active_at = now
+        if has_unsent:
             return
         if viewer.is_read:
             viewer.unconfirmed = self._unread(now, viewer, True)
@@ -108,7 +117,7 @@
         return [one for one in viewer.unconfirmed if now - one.written_at < bounds.NOTICE_RESET_PERIOD]
 
     def send_overdue(self, now: int) -> None:
-        """Send the notices that are due on a connection that was tested, if none is known to be read."""
+        """Send the notices that are due, on a connection that was tested if none is known to be read."""
         viewer = self.expected_connection()
         if viewer is not None:
             self._send_waiting(now, viewer, self._overdue(now))
@@ -141,11 +150,11 @@
             self._write(viewer)
 
     def _wait(self, now: int, notice: Notice) -> None:
+        self.waiting.append(notice)
         while self.waiting and self.waiting[0].due < now - bounds.NOTICE_RETENTION_PERIOD:
             self._drop_oldest()
-        while len(self.waiting) >= self._capacity:
+        while len(self.waiting) > self._capacity:
             self._drop_oldest()
-        self.waiting.append(notice)
         if self.shutting_down or notice.due <= now:
             self.send_overdue(now)
 
@@ -154,7 +163,11 @@
         self.dropped += 1
 
     def _overdue(self, now: int) -> list[Notice]:
-        return [notice for notice in self.waiting if self.shutting_down or notice.due <= now]
+        return [
+            notice
+            for notice in self.waiting
+            if notice.unproven_writes < bounds.MAX_UNPROVEN_WRITES and (self.shutting_down or notice.due <= now)
+        ]
 
     def _send_waiting(self, now: int, viewer: Viewer, notices: Iterable[Notice]) -> None:
         """Assign waiting notices to a connection, no more than it can take at once; the rest follows when it has."""
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -612,3 +612,15 @@
     assert spare is not None and spare.host is idle
     driver.link_down(spare)
     assert driver.core.link_to_evict() is None  # the release of the established session will come on the other one
+
+
+def test_a_release_that_finds_a_full_outbox_is_sent_on_the_next_connection():
+    # guards against: a session left at a host that read nothing for a while
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    for _ in range(bounds.MAX_LINK_OUTBOX):
+        link.outbox.append(b"x")
+    driver.core.viewer_received(driver.now, viewer, teardown(sid(1), "Reason: cause=16\r\n"))
+    driver.run_actions()
+    driver.advance(1)
+    assert sid(1) in driver.releases()
--- a/tests/control/node/test_notices.py
+++ b/tests/control/node/test_notices.py
@@ -364,3 +364,81 @@
     driver.advance(bounds.NOTICE_RETENTION_PERIOD / SECOND + 2)
     driver.host_sends(driver.core.sessions_by_id[bytes.fromhex(sid(2))].host.up_link(), release(sid(2)))
     assert len(driver.core.pending_notices) == 1
+
+
+def test_a_notice_whose_buffer_was_read_a_moment_before_a_reset_is_sent_on_another_connection():
+    # guards against: a notice that counts as arrived by the time of its first write, though it lay in a full buffer
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    other = reader(driver)
+    driver.host_sends(link, release(sid(1)))
+    driver.core.outbox_written(driver.now, viewer, True)
+    driver.advance(3)
+    driver.core.outbox_written(driver.now, viewer, False)
+    driver.advance(0.1)
+    is_reset(driver, viewer)
+    assert driver.statuses(other) == ["TEARDOWN"]
+
+
+def test_connections_that_only_test_are_told_of_another_viewers_session_a_limited_number_of_times():
+    # guards against: a health check that is sent the notices of all absent viewers each time
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    host_releases(driver, link)
+    driver.advance(3)
+    told = 0
+    for _ in range(30):
+        check = driver.viewer()
+        told += len(ping(driver, check))
+        driver.hang_up(check)
+        driver.advance(1)
+    assert told == bounds.MAX_UNPROVEN_WRITES
+    assert ping(driver, back := driver.viewer()) == [] and ping(driver, back) == ["TEARDOWN"]
+
+
+def test_a_notice_that_comes_back_after_its_retention_is_dropped():
+    # guards against: a notice that is kept for good, as it was on its way each time room was made
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    driver.hang_up(viewer)
+    host_releases(driver, link)
+    check = driver.viewer()
+    ping(driver, check)
+    driver.advance(1)
+    assert driver.statuses(check) == ["TEARDOWN"]
+    for _ in range(3):
+        driver.advance(25)
+        keep_open(driver, check)
+    driver.hang_up(check)
+    assert not driver.core.pending_notices and driver.core.notices.dropped == 1
+
+
+def keep_open(driver, viewer):
+    """Keep a connection from being idle, without a sign that it is read."""
+    viewer.last_active_at = driver.now
+
+
+def test_a_connection_with_buffered_data_is_not_chosen_while_another_is_read():
+    # guards against: a notice behind data that a client does not read, while another client reads
+    driver = CoreDriver()
+    viewer, link = driver.established()
+    free, stuck = reader(driver), reader(driver)
+    driver.core.outbox_written(driver.now, stuck, True)
+    driver.hang_up(viewer)
+    host_releases(driver, link)
+    assert driver.statuses(free) == ["TEARDOWN"] and driver.statuses(stuck) == []
+
+
+def test_the_notices_of_a_lost_host_are_written_in_parts():
+    # guards against: a connection that is cut, as all notices of one host's end do not fit its buffer
+    driver = CoreDriver()
+    viewer = driver.viewer()
+    adopt(driver, viewer, 1000)
+    driver.core._host_lost(driver.now, driver.dialled[0].host)
+    written = []
+    while viewer.has_output:
+        written.append(viewer.take_outbox())
+        driver.core.outbox_written(driver.now, viewer, False)
+    assert len(written) == 4 and sum(data.count(b"TEARDOWN ") for data in written) == 1000
+    assert max(map(len, written)) < bounds.MAX_VIEWER_UNSENT_BYTES
--- a/tests/gateway/node/test_notices.py
+++ b/tests/gateway/node/test_notices.py
@@ -132,3 +132,46 @@
         assert await front.answers(4000) == ["TEARDOWN"] * 4000 and not front.at_end
 
     run_with_node(body, hosts=1, small_buffers=True)
+
+
+def test_a_reset_that_is_found_before_a_further_notice_gives_the_earlier_one_back():
+    # guards against: a reset that is read in passing and taken for an orderly close
+    async def body(harness):
+        (host,) = harness.hosts
+        first, reader = harness.client(), harness.client()
+        for n in (1, 2):
+            first.send(setup(sid(n)))
+            assert await first.answers(1) == [200]
+        await ping(reader)
+        await ping(reader)
+        harness.block_reads()
+        await host.say(release(sid(1)))
+        await harness.until(lambda: len(harness.node.core.sessions) == 1)
+        await trio.sleep(0.02)
+        first.reset()
+        await host.say(release(sid(2)))
+        assert await reader.answers(2, 1.0) == ["TEARDOWN"] * 2
+        harness.unblock_reads()
+
+    run_with_node(body, hosts=1)
+
+
+def test_a_notice_whose_write_fails_is_sent_on_another_connection():
+    # guards against: a notice lost with a connection that turns out to be broken when it is written
+    async def body(harness):
+        (host,) = harness.hosts
+        first, reader = harness.client(), harness.client()
+        first.send(setup(sid(1)))
+        assert await first.answers(1) == [200]
+        await ping(reader)
+        await ping(reader)
+        (own,) = [one for one in harness.node.core.viewers if one.established_sessions]
+
+        def fail(data):
+            raise BrokenPipeError("the peer is gone")
+
+        harness.node._viewer_writers[own].stream.send_now = fail
+        await host.say(release(sid(1)))
+        assert await reader.answers(1, 1.0) == ["TEARDOWN"]
+
+    run_with_node(body, hosts=1)
