--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""A host's answer is lost as its connection is reset: the session stands there and is never released, and its seat is
-given to another one.
+"""A release that the gateway writes on a connection that the host has forgotten is lost: the session stays at its host,
+and its seat is given to another one.
 """
 
 import asyncio
@@ -10,7 +10,6 @@
 sys.path.insert(0, str(HERE.parent))
 
 from kit2.standins import (  # noqa: E402 the stand-ins lie beside the cases
-    ANSWER,
     PAID,
     TROUBLE,
     CannotRunError,
@@ -23,20 +22,21 @@
 
 
 async def body(world: World) -> bool:
-    """Two sessions of a title are set up; the answer of one gets lost; a third one is set up."""
+    """Two sessions of a title stand, one is ended by its viewer, a third one is set up."""
     title, sessions = new_id(), [new_id() for _ in range(3)]
-    if await world.ask("viewer 0", PAID, title, sessions[0]) != 200:
-        raise CannotRunError("a session was not set up")
-    if TROUBLE:
-        for proxy in world.proxies:
-            proxy.spoil = lambda data: data[2] == ANSWER and data[3:11].hex() == sessions[1]
-    await world.ask("viewer 1", PAID, title, sessions[1])
+    for number in range(2):
+        if await world.ask(f"viewer {number}", PAID, title, sessions[number]) != 200:
+            raise CannotRunError("a session was not set up")
+    await asyncio.sleep(3)
     host = world.host_of(sessions[1])
+    if TROUBLE:
+        world.proxies[host].forget_all()
     await asyncio.sleep(1)
+    world.viewers["viewer 1"].end(sessions[1])
+    await asyncio.sleep(2)
     await world.contact(host)
     await world.ask("viewer 2", PAID, title, sessions[2])
     await asyncio.sleep(5)
-    await world.contact(host)
     standing = world.standing(title)
     world.record(f"{SEATS} seats; 5 s later there stand: {', '.join(standing)}")
     return len(standing) <= SEATS
