Review: a session that ended while its gateway started is never told

review/6: eight sessions are handed over 20 ms apart; the host's release comes before the one that it names. Its viewer was told nothing in 8.05 s, with its connection open.

--- a/review/kit2/standins.py
+++ b/review/kit2/standins.py
@@ -152,7 +152,7 @@
         self.record, self.name, self.cell, self.setup_time = record, name, cell, setup_time
         self.setups: list[tuple[float, str, dict[int, bytes]]] = []
         self.releases: list[tuple[float, str]] = []
-        self.standing: dict[str, tuple[bytes, bytes, asyncio.StreamWriter]] = {}
+        self.standing: dict[str, tuple[bytes, bytes, asyncio.StreamWriter | None]] = {}
         self.connections: list[asyncio.StreamWriter] = []
         self.accepted = 0
         self.is_full: Callable[[dict[int, bytes]], bool] = lambda params: False
@@ -233,6 +233,11 @@
         writer.write(message(ANSWER, session, (DESCRIPTION, f"c=IN IP4 {self.name} {session}\r\n".encode())))
         self.on_change()
 
+    def plays(self, session: str, name: str, title: str) -> None:
+        """A session stands here before the gateway starts."""
+        self.standing[session] = (name.encode(), title.encode(), None)
+        self.record(f"{self.name} plays {session}")
+
     def end(self, session: str, cause: int = NORMAL) -> None:
         """A session has come to its end here."""
         _, _, own = self.standing.pop(session)
@@ -509,6 +514,19 @@
             ).encode()
         )
 
+    def hand_over(self, session: str, name: str, title: str, at: str, home: int, copies: int, viewer: str) -> None:
+        """Name a session that plays at a media host already."""
+        body = f"c=IN IP4 127.0.0.1 {session}\r\n"
+        self.record(f"{self.name} hands over {session}, {name} {title}, at {at}")
+        self.writer.write(
+            (
+                f"SETUP rtsp://media/{title} RTSP/1.0\r\nCSeq: 1\r\nSession: {session}\r\nSubject: {name}\r\n"
+                f"X-Patience: 2500\r\nX-Guess: 60000.0\r\n"
+                f"X-Facts: home:{home};copies:{copies};top:4;viewer:{viewer};at:{at}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}"
+            ).encode()
+        )
+
     def end(self, session: str) -> None:
         """Release a session that stands."""
         self.record(f"{self.name} ends {session}")
@@ -555,10 +573,10 @@
     def __init__(self, record: Record, folder: Path, names: NameService, options: dict[str, Any]) -> None:
         self.record, self.folder, self.names, self.options = record, folder, names, options
         self.process: asyncio.subprocess.Process | None = None
+        self.address = ("127.0.0.1", _free_port())
 
     async def start(self) -> None:
         """Start it and wait until a test has passed."""
-        self.address = ("127.0.0.1", _free_port())
         config = self.folder / "config.json"
         config.write_text(
             json.dumps(
@@ -581,7 +599,7 @@
             "NODE_LISTEN": f"127.0.0.1:{self.address[1]}",
             "NODE_CONFIG": str(config),
         }
-        self.log = (self.folder / "gateway.log").open("wb")
+        self.log = (self.folder / "gateway.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=environ, stdout=self.log, stderr=self.log
         )
