--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -12,7 +12,7 @@
 
 # memory: what is remembered, and what may be queued
 MAX_MOVED_VIEWERS = 4096  # viewers remembered as moved away by this front
-MAX_ENDED_SESSIONS = 2048  # ids of ended sessions, to recognise messages that crossed their end
+MAX_ENDED_SESSIONS = 8192  # ids of ended sessions, to recognise messages that crossed their end
 MAX_WAITING_NOTICES = 16384  # notices to viewers that wait for a connection that is being read
 MAX_NOTICES_PER_WRITE = 256  # notices written to one connection before the next ones wait until it has taken them
 MAX_UNPROVEN_WRITES = 2  # writes of one notice to connections that are not known to be read
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -52,6 +52,7 @@
 from ..timers import Timers
 from . import bounds
 from .connection_limit import ConnectionLimit, idle_links, link_to_evict
+from .ended_sessions import EndedSessions
 from .idle_viewers import IdleViewers
 from .links import HostState, Link, LinkState, PendingProbe
 from .notices import Notice, NoticeDelivery
@@ -104,7 +105,7 @@
         )
         self._idle_viewers = IdleViewers(self.viewers, self.sessions, self.notices)
         self.moved_viewers: dict[str, None] = {}
-        self.ended_sessions: dict[bytes, HostState] = {}
+        self.ended_sessions = EndedSessions(bounds.MAX_ENDED_SESSIONS)
         self.ready = False
         self._last_ref = 0
         self._last_number = 0
@@ -463,6 +464,10 @@
         viewer.established_sessions[session.ref] = session
         host.sessions[session.ref] = session
         self._feed(now, CarriedSession(session_request, host.server))
+        cause = self.ended_sessions.cause_at(setup.session_id, host.name)
+        if cause is not None:
+            self.log_line("handed over after its end", session=session.id_text, host=host.name, cause=cause)
+            return self._session_released(now, session, cause)
         self._ensure_link(now, host)
         self._schedule_check(now, host)
 
@@ -922,16 +927,18 @@
                 now, attempt, ATTEMPT_CODES.get(message.cause, OutcomeCode.RESET), self._report(message)
             )
         session = self.sessions_by_id.get(message.session)
+        if session is None:  # it may still be handed over
+            self.ended_sessions.add(message.session, link.host.name, message.cause)
+            return
         # a host that left the list and came back keeps its connections and sessions
-        if (
-            session is not None
-            and session.established
-            and session.host is not None
-            and session.host.name == link.host.name
-        ):
-            code = SESSION_CODES.get(message.cause, OutcomeCode.RESET)
-            notice_due = None if code is OutcomeCode.CANCELLED else now + bounds.RELEASE_NOTICE_LIMIT
-            self._end_session(now, session, code, message.cause, notice_due, self._report(message))
+        if session.established and session.host is not None and session.host.name == link.host.name:
+            self._session_released(now, session, message.cause, self._report(message))
+
+    def _session_released(self, now: int, session: Session, cause: int, report: Report | None = None) -> None:
+        """The host of an established session has released it."""
+        code = SESSION_CODES.get(cause, OutcomeCode.RESET)
+        notice_due = None if code is OutcomeCode.CANCELLED else now + bounds.RELEASE_NOTICE_LIMIT
+        self._end_session(now, session, code, cause, notice_due, report)
 
     def _session_lost(self, now: int, session: Session) -> None:
         """The host of an established session is gone, some time after it was last heard."""
@@ -964,7 +971,7 @@
         """Abort an attempt. If it may have been sent, a release is queued for the host; otherwise it never ran."""
         link = attempt.link
         if attempt.written and link is not None:
-            self._remember_ended(attempt.session.setup.session_id, attempt.host)
+            self.ended_sessions.add(attempt.session.setup.session_id, attempt.host.name, Cause.NORMAL)
             link.outbox.append(_encode_release(attempt.session.setup.session_id, Cause.NORMAL))
             link.aborts_attempt = True
             self.io_actions.write_links.append(link)
@@ -984,7 +991,7 @@
                 link.outbox.remove(attempt)
         if session.attempt is attempt:
             session.attempt = None
-        self._remember_ended(session.setup.session_id, attempt.host)
+        self.ended_sessions.add(session.setup.session_id, attempt.host.name, Cause.RESET)
         self._feed(
             now,
             Outcome(
@@ -1011,7 +1018,7 @@
         session.established = False
         host.sessions.pop(session.ref, None)
         self._remove_session(session)
-        self._remember_ended(session.setup.session_id, host)
+        self.ended_sessions.add(session.setup.session_id, host.name, cause)
         if tell_host:
             self._send_to_host(now, host, _encode_release(session.setup.session_id, cause))
         if notice_due is not None:
@@ -1040,12 +1047,6 @@
         self.notices.send_overdue(now)
         self._schedule_notices(now)
 
-    def _remember_ended(self, id: bytes, host: HostState) -> None:
-        self.ended_sessions.pop(id, None)
-        self.ended_sessions[id] = host
-        while len(self.ended_sessions) > bounds.MAX_ENDED_SESSIONS:
-            del self.ended_sessions[next(iter(self.ended_sessions))]
-
     def log_line(self, event: str, **fields: str | int) -> None:
         """Queue a line for the log."""
         self.io_actions.log_lines.append((event, fields))
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -307,7 +307,7 @@
 
 def test_memory_is_bounded_under_new_ids_hosts_and_connections():
     driver = CoreDriver()
-    for n in range(3000):
+    for n in range(bounds.MAX_ENDED_SESSIONS + 1000):
         viewer = driver.viewer()
         driver.send(viewer, setup(sid(n + 1)))
         link = driver.setups()[-1][0]
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -293,19 +293,28 @@
             os.mkfifo(self.path)
         else:
             self.save_config()
+        self.stderr, self.preexec = stderr, preexec
+        self.restart()
+
+    def restart(self):
+        """Start a process at the same address; an earlier one must have ended."""
         environ = {**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": self.address, "NODE_CONFIG": str(self.path)}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "copperyard.gateway.node"],
             env=environ,
             cwd=Path(__file__).parents[3],
-            stderr=stderr,
+            stderr=self.stderr,
             stdout=subprocess.PIPE,
-            preexec_fn=preexec,
+            preexec_fn=self.preexec,
         )
 
     async def start(self):
         for host in self.harness.hosts:
             self.harness.nursery.start_soon(host.run, self.harness.nursery)
+        await self.wait_until_started()
+
+    async def wait_until_started(self):
+        """Wait until the process listens and can be tested."""
         with trio.fail_after(30):
             while True:
                 try:
