--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -43,7 +43,16 @@
 from ...protocol import rtsp
 from ...protocol.node import viewer as viewer_protocol
 from ...protocol.node.fleet import Host
-from ...protocol.node.messages import Cause, Message, MessageError, MessageKind, Param, encode, parse_report
+from ...protocol.node.messages import (
+    Cause,
+    Message,
+    MessageError,
+    MessageKind,
+    Param,
+    encode,
+    frame_kind,
+    parse_report,
+)
 from ...protocol.node.viewer import SetupRequest
 from ...protocol.rtsp.messages import HeaderError
 from ...settings import Platform, make_report
@@ -167,7 +176,7 @@
     @property
     def has_unsent(self) -> bool:
         """Whether any message to a host waits for its connection."""
-        return any(host.unsent_releases or any(link.outbox for link in host.links) for host in self.hosts.values())
+        return any(host.awaits_releases or any(link.outbox for link in host.links) for host in self.hosts.values())
 
     def may_accept(self, connections: int) -> bool:
         """Whether one more connection of a viewer may be accepted beside `connections`. Over the limit it replaces
@@ -233,6 +242,7 @@
             host.address = self.fleet.hosts[name].address
             if entry.started:  # sessions from before the start of the host's process ended with the previous process
                 lost += [session for session in host.sessions.values() if session.established_at < entry.started]
+                host.owed.process_started(entry.started)
         self._feed(now, changes)
         for entry in changes.entries:
             host = self.hosts.get(entry.server)
@@ -623,7 +633,7 @@
         """Queue a message that may go on any connection to the host."""
         link = host.up_link() or host.dialling_link() or next(iter(host.links), None) or self._dial(now, host)
         if len(link.outbox) >= bounds.MAX_LINK_OUTBOX:  # the host reads nothing, or dialling it keeps failing
-            host.keep_unsent(frame)
+            host.keep_unsent(now, frame)
             return self._close_link(now, link)
         link.outbox.append(frame)
         if link.state is LinkState.UP:
@@ -633,8 +643,8 @@
         """The connection is established."""
         host = link.host
         link.state, link.up_at, link.last_heard = LinkState.UP, now, now
-        host.last_heard, host.failed_dials, host.link_lost = now, 0, False
-        link.outbox[:0] = host.take_unsent()
+        host.last_heard, host.failed_dials, host.link_lost, host.given_up = now, 0, False, False
+        link.outbox[:0] = host.owed.take_waiting(now)
         if link.outbox:
             self.io_actions.write_links.append(link)
         for old in [one for one in host.links if one is not link and one.state is LinkState.UP]:
@@ -669,6 +679,8 @@
         for one in queued:
             if isinstance(one, bytes):
                 parts.append(one)
+                if frame_kind(one) == MessageKind.RELEASE:
+                    link.host.owed.written(now, link.number, one)
             elif now >= one.deadline:  # after a stall of this process: nothing is sent past its deadline
                 overdue.append(one)
             elif one.session.viewer in busy:
@@ -678,6 +690,7 @@
             else:
                 one.written, one.written_at = True, now
                 link.attempts[one.session.setup.session_id] = one
+                link.host.owed.withdraw(one.session.setup.session_id)
                 parts.append(one.encode(now))
         for one in overdue:
             self._abort_attempt(now, one, OutcomeCode.TIMEOUT, False)
@@ -690,17 +703,28 @@
         link.state = LinkState.DOWN
         link.host.links.remove(link)
         link.host.link_lost = True
+        link.host.owed.connection_ended(now - bounds.RELEASE_ARRIVAL_PERIOD, link.number, False)
         self.timers.cancel(("partial", link))
         self._remove_if_unused(link.host)
 
-    def link_down(self, now: int, link: Link, refused: bool = False, silent: bool = False, reset: bool = False) -> None:
+    def link_down(
+        self,
+        now: int,
+        link: Link,
+        refused: bool = False,
+        silent: bool = False,
+        reset: bool = False,
+        undelivered: bool = False,
+    ) -> None:
         """The connection has ended or was never established. `refused`: the host's machine refused it; `silent`: it got
         no answer; neither: this machine could not open one. `reset`: the peer reset it, as happens when its process
-        dies, but not on an orderly close. Attempts that may have run end with an unknown outcome; those that were never
-        sent go on a new connection.
+        dies, but not on an orderly close. `undelivered`: what was written to it may not have arrived for another
+        reason. Attempts that may have run end with an unknown outcome; those that were never sent go on a new
+        connection.
         """
         host, previous_state = link.host, link.state
         link.state = LinkState.DOWN
+        host.owed.connection_ended(now, link.number, reset or undelivered)
         if previous_state in (LinkState.DOWN, LinkState.HALF_CLOSED):
             return
         host.links.remove(link)
@@ -708,15 +732,17 @@
             host.link_lost, host.last_reset = True, now if reset else host.last_reset
         unsent, link.outbox = link.outbox, []
         self.timers.cancel(("partial", link))
+        in_flight = list(link.attempts)
         for attempt in list(link.attempts.values()):
             self._finish_attempt(now, attempt, OutcomeCode.RESET, None)
+        self._owe_releases(now, host, in_flight)
         for one in unsent:
             if isinstance(one, bytes):
                 # a lost release would leave a session open at the host
                 if previous_state is LinkState.UP and host.listed and len(unsent) < bounds.MAX_LINK_OUTBOX:
                     self._send_to_host(now, host, one)
                 elif host.listed:
-                    host.keep_unsent(one)
+                    host.keep_unsent(now, one)
                 continue
             if previous_state is LinkState.UP and one.requeues < 2:
                 # an idle connection that had ended unnoticed: nothing was sent
@@ -728,9 +754,27 @@
                 self._finish_attempt(now, one, OutcomeCode.MOOT if local else OutcomeCode.CONNECT_FAILED, None)
         if previous_state is LinkState.DIALLING and (refused or silent):
             self._dial_failed(now, host, refused)
+        self._send_owed_releases(host, now)
         self._ensure_link(now, host)
         self._remove_if_unused(host)
 
+    def _owe_releases(self, now: int, host: HostState, session_ids: Collection[bytes]) -> None:
+        """Owe a host the releases of sessions that may stand there, without a connection to send them on. Not of those
+        that are being set up there again.
+        """
+        for session_id in session_ids if host.listed else ():
+            session = self.sessions_by_id.get(session_id)
+            current = session.attempt if session is not None else None
+            if current is None or current.host is not host:
+                host.owed.wait(now, _encode_release(session_id, Cause.NORMAL), redial=False)
+
+    def _send_owed_releases(self, host: HostState, now: int) -> None:
+        """Send the releases that wait, if a connection is up."""
+        link = host.up_link()
+        if link is not None and host.owed.has_waiting:
+            link.outbox += host.owed.take_waiting(now)
+            self.io_actions.write_links.append(link)
+
     def _dial_failed(self, now: int, host: HostState, refused: bool) -> None:
         """A connection could not be established.
 
@@ -740,6 +784,8 @@
         """
         if refused and host.up_link() is not None:
             return  # the host accepts no more connections, but it is alive
+        # otherwise what is owed to it waits for a connection opened for another purpose
+        host.given_up = not host.sessions and not host.owed.is_worth_redialling
         if not refused:
             self._suspect_hosts(now)
         host.failed_dials += 1
@@ -756,19 +802,23 @@
             self._host_lost(now, host)
 
     def _host_lost(self, now: int, host: HostState) -> None:
-        """A host's process or machine is gone, and all its sessions with it."""
-        host.unsent_releases.clear()
+        """A host counts as gone, and all its sessions as over. As it may only have been out of reach, it is owed their
+        releases until the list tells that it is gone or that its process has started again.
+        """
         if host.sessions or host.links:
             self.log_line("host lost", host=host.name, sessions=len(host.sessions), listed=int(host.listed))
-        for session in list(host.sessions.values()):
+        sessions = list(host.sessions.values())
+        for session in sessions:
             self._session_lost(now, session)
+        host.given_up = True
+        self._owe_releases(now, host, [session.setup.session_id for session in sessions])
         for link in [one for one in host.links if one.state is LinkState.UP]:
             self._close_link(now, link)
 
     def _close_link(self, now: int, link: Link) -> None:
         """Close a connection from this side at once."""
         self.io_actions.close.append(link)
-        self.link_down(now, link)
+        self.link_down(now, link, undelivered=True)
 
     def _silence_timeout(self, now: int) -> int:
         """How long (ns) a host that holds sessions may be silent before it is dialled."""
@@ -823,19 +873,7 @@
         """A message was begun and not completed in time: the connection cannot be used any more."""
         if link.state is LinkState.UP and link.decoder.partial:
             self.log_line("host stopped in a message", host=link.host.name)
-            self._abort_link(now, link)
-
-    def _abort_link(self, now: int, link: Link) -> None:
-        """Close a connection after a protocol error. Its attempts in flight may have run, so they are released at the
-        host.
-        """
-        ids = list(link.attempts)
-        self._close_link(now, link)
-        for id in ids:
-            session = self.sessions_by_id.get(id)
-            current = session.attempt if session is not None else None
-            if link.host.listed and (current is None or current.host is not link.host):
-                self._send_to_host(now, link.host, _encode_release(id, Cause.NORMAL))
+            self._close_link(now, link)
 
     def _ensure_link(self, now: int, host: HostState) -> None:
         """Dial a host that holds sessions, or for which releases wait, if it has no connection, or none opened since
@@ -843,13 +881,15 @@
 
         Dials are rate-limited. They are needed as the host repeats its releases on a new connection only.
         """
-        if not host.sessions and not host.unsent_releases:
+        if not host.sessions and not host.awaits_releases:
             return
         if host.links and (not host.link_lost or host.dialling_link() is not None):
             return
         if not host.listed:
             return None if host.links else self._host_lost(now, host)
         due = host.last_redial + bounds.REDIAL_INTERVAL * min(bounds.MAX_REDIAL_BACKOFF, 1 + host.failed_dials)
+        if not host.sessions and self._accept_until is None:
+            due = max(due, host.owed.waiting_since + bounds.OWED_RELEASE_DIAL_DELAY)
         if now >= due:
             host.last_redial = now
             self._dial(now, host)
@@ -866,12 +906,13 @@
             return None
         link.last_heard = link.host.last_heard = now
         link.suspect, link.host.failed_dials = False, 0
+        link.host.owed.connection_heard(now, link.number)
         messages, error = link.decoder.receive(data)
         for message in messages:
             self._handle_message(now, link, message)
         if error is not None:
             self.log_line("host speaks nonsense", host=link.host.name, text=str(error))
-            self._abort_link(now, link)
+            self._close_link(now, link)
         elif not link.decoder.partial or link.state is not LinkState.UP:
             self.timers.cancel(("partial", link))
         elif messages or ("partial", link) not in self.timers:
@@ -884,6 +925,8 @@
             self._setup_answered(now, link, message)
         elif message.kind == MessageKind.RELEASE:
             self._released(now, link, message)
+        elif message.kind == MessageKind.HEARD:
+            link.host.owed.acknowledged(message.session)
         elif message.kind == MessageKind.NOTE:
             self._note(now, message)
         elif message.kind == MessageKind.TESTED:
--- a/copperyard/control/node/links.py
+++ b/copperyard/control/node/links.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from ...protocol.node.messages import Decoder, MessageKind, frame_key, frame_kind
-from .bounds import MAX_UNSENT_RELEASES
+from ...protocol.node.messages import Decoder, MessageKind, frame_kind
+from .owed_releases import OwedReleases
 
 if TYPE_CHECKING:
     from .sessions import Attempt, Session
@@ -66,8 +66,8 @@
 
     `links` are its connections that are being dialled or are up, `sessions` those established at it, by reference.
     `link_lost`: a connection was lost, and the host repeats what it sent there on the next new connection only.
-    `last_reset`: when a connection was last reset by the host. `unsent_releases` could not be sent, as no connection
-    came up, and go on the next one that does.
+    `last_reset`: when a connection was last reset by the host. `owed` are the releases that may not have arrived.
+    `given_up`: it counts as lost with its sessions, and no connection to it has come up since.
     """
 
     server: int
@@ -83,33 +83,28 @@
     check_scheduled: bool = False
     link_lost: bool = False
     last_reset: int = -1 << 62
-    unsent_releases: dict[bytes, bytes] = field(default_factory=dict)
+    given_up: bool = False
+    owed: OwedReleases = field(default_factory=OwedReleases)
+
+    @property
+    def awaits_releases(self) -> bool:
+        """Whether releases wait for a connection that is worth opening for them."""
+        return self.owed.has_waiting and not self.given_up
 
     @property
     def must_be_reached(self) -> bool:
         """Whether sessions play there, or a release waits to be sent to it."""
-        if self.sessions or self.unsent_releases:
+        if self.sessions or self.awaits_releases:
             return True
         queued = (one for link in self.links for one in link.outbox)
         return any(isinstance(one, bytes) and frame_kind(one) == MessageKind.RELEASE for one in queued)
 
-    def keep_unsent(self, frame: bytes) -> None:
+    def keep_unsent(self, now: int, frame: bytes) -> None:
         """Keep a frame for the next connection, if it is a release. A probe has timed out by then, and a rung is not
         worth a connection.
         """
-        if frame_kind(frame) != MessageKind.RELEASE:
-            return
-        key = frame_key(frame)
-        self.unsent_releases.pop(key, None)
-        self.unsent_releases[key] = frame
-        while len(self.unsent_releases) > MAX_UNSENT_RELEASES:
-            del self.unsent_releases[next(iter(self.unsent_releases))]
-
-    def take_unsent(self) -> list[bytes]:
-        """Take the releases that are to go on a connection that has come up."""
-        frames = list(self.unsent_releases.values())
-        self.unsent_releases.clear()
-        return frames
+        if frame_kind(frame) == MessageKind.RELEASE:
+            self.owed.wait(now, frame, redial=True)
 
     def up_link(self) -> Link | None:
         """A connection that is up and not suspect, None without one."""
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -373,15 +373,15 @@
             aborts_attempt = link.aborts_attempt
         if aborts_attempt and writer.unsent:
             # an aborted attempt may run until its release is sent: closing the connection aborts it at once
-            self._close_link(link)
+            self._close_link(link, undelivered=True)
 
     def _link_writable(self, link: Link) -> None:
         link.has_unsent = False
         self.core.io_actions.write_links.append(link)
         self.perform_actions()
 
-    def _close_link(self, link: Link, reset: bool = False) -> None:
-        self.core.link_down(now(), link, reset=reset)
+    def _close_link(self, link: Link, reset: bool = False, undelivered: bool = False) -> None:
+        self.core.link_down(now(), link, reset=reset, undelivered=undelivered)
         self._end_link(link)
 
     def _end_link(self, link: Link) -> None:
@@ -579,11 +579,13 @@
                 self.perform_actions()
                 reset = await self._read_link(link, stream)
         finally:
-            self._host_writers.pop(link, None)
+            writer = self._host_writers.pop(link, None)
             self._link_scopes.pop(link, None)
             if stream is not None:
                 stream.close()
-            self.core.link_down(now(), link, refused, stream is None and not refused and not local, reset)
+            silent = stream is None and not refused and not local
+            undelivered = writer is not None and writer.has_undelivered
+            self.core.link_down(now(), link, refused, silent, reset, undelivered)
             self.perform_actions()
 
     async def _connect(self, host: HostState) -> Stream:
--- a/copperyard/protocol/node/messages.py
+++ b/copperyard/protocol/node/messages.py
@@ -95,9 +95,9 @@
     return frame[2] if len(frame) > 2 else 0
 
 
-def frame_key(frame: bytes) -> bytes:
-    """Type and session of a message that `encode` returned: a later one with the same key replaces an earlier one."""
-    return frame[2 : _HEADER.size]
+def frame_session(frame: bytes) -> bytes:
+    """The session of a message that `encode` returned."""
+    return frame[3 : _HEADER.size]
 
 
 # the messages that a host may send, and their required parameters
