--- a/copperyard/control/node/bounds.py
+++ b/copperyard/control/node/bounds.py
@@ -11,6 +11,8 @@
 SECOND = 1_000_000_000
 
 # memory: what is remembered, and what may be queued
+SESSION_MEMORY_BYTES = 4096  # what one session takes in the core and in the controller
+MAX_OPEN_SETUPS = 512  # set-ups without an answer on one viewer connection
 MAX_MOVED_VIEWERS = 4096  # viewers remembered as moved away by this front
 MAX_ENDED_SESSIONS = 8192  # ids of ended sessions, to recognise messages that crossed their end
 MAX_WAITING_NOTICES = 16384  # notices to viewers that wait for a connection that is being read
@@ -34,6 +36,8 @@
 
 # connections
 MIN_SOCKETS = 64  # descriptors below which a node does not start
+MAX_MEMORY_MB = 1 << 30  # above which a limit of memory makes no difference
+MIN_MEMORY_MB = 1  # the least limit of memory that a configuration may name
 RESERVED_SOCKETS = 24  # listener, name service, event loop, logs, and a connection being opened or closed
 MAX_LINKS_PER_HOST = 4  # connections to one host, beside one that is dialled to check that the host is there
 MAX_VIEWER_ERRORS = 12  # invalid requests, after which a viewer connection is closed
@@ -87,6 +91,13 @@
 MAX_RELOAD_ATTEMPTS = 20
 
 
+def max_sessions(memory_mb: float | None, max_held: int) -> int:
+    """Most sessions and open set-ups at a time: those that the settings allow, in half of the memory at most."""
+    if memory_mb is None:
+        return max_held
+    return min(max_held, int(min(memory_mb, MAX_MEMORY_MB) * (1 << 20)) // 2 // SESSION_MEMORY_BYTES)
+
+
 def max_viewer_connections(sockets: int) -> int:
     """Most connections of viewers at a time; the rest of the descriptors is kept for hosts."""
     return sockets // 2
--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -11,11 +11,12 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from ...decide import Controller
+from ...decide import NOT_RUN_CODES, Controller
 from ...interface import (
     Action,
     Cancel,
     CarriedSession,
+    Effect,
     Fail,
     Log,
     Move,
@@ -74,6 +75,7 @@
     Cause.MOOT: OutcomeCode.MOOT,
 }
 SESSION_CODES: dict[int, OutcomeCode] = {Cause.NORMAL: OutcomeCode.OK, Cause.CANCELLED: OutcomeCode.CANCELLED}
+NOT_RUN_CAUSES = (Cause.FULL, Cause.MOOT)
 STATUS_REFUSED, STATUS_FAILED = 503, 500
 
 
@@ -97,7 +99,15 @@
 class NodeCore:
     """The state machine of one node. `fleet` is empty until `start`."""
 
-    def __init__(self, settings: Settings, platform: Platform, fleet: Fleet, seed: int, sockets: int) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        fleet: Fleet,
+        seed: int,
+        sockets: int,
+        memory_mb: float | None = None,
+    ) -> None:
         self.settings, self.platform, self.fleet, self.sockets = settings, platform, fleet, sockets
         self.controller = Controller(settings, seed)
         self.class_numbers = {kind.name: n for n, kind in enumerate(settings.classes)}
@@ -115,6 +125,7 @@
         self._idle_viewers = IdleViewers(self.viewers, self.sessions, self.notices)
         self.moved_viewers: dict[str, None] = {}
         self.ended_sessions = EndedSessions(bounds.MAX_ENDED_SESSIONS)
+        self.max_sessions = bounds.max_sessions(memory_mb, platform.max_held)
         self.ready = False
         self._last_ref = 0
         self._last_number = 0
@@ -401,8 +412,8 @@
         if cls is None:
             raise HeaderError(400, f"no class is named {setup.class_name[:40]!r}")
         known = self.sessions_by_id.get(setup.session_id)
-        if known is None and len(self.sessions) >= self.platform.max_held:
-            return self._reject(viewer, setup)  # the settings bound the sessions that a node holds
+        if known is None and len(self.sessions) >= self.max_sessions:
+            return self._reject(viewer, setup)
         if setup.at is not None:
             if known is None:
                 self._adopt_session(now, viewer, setup, cls)
@@ -413,6 +424,10 @@
                 self._answer_setup(known, STATUS_FAILED)
                 self._abandon_setup(now, known)
             raise HeaderError(400, "the session already exists")
+        if self.settings.classes[cls].effect != Effect.SAFE and self.ended_sessions.may_have_run(setup.session_id):
+            raise HeaderError(400, "the session was set up before, and must not run twice")
+        if len(viewer.open_setups) >= bounds.MAX_OPEN_SETUPS:
+            return self._reject(viewer, setup)  # a client that floods must not delay the others
         if self._accept_until is not None and now >= self._accept_until:
             return self._reject(viewer, setup)
         self.budget.count_request(now)
@@ -971,7 +986,7 @@
             )
         session = self.sessions_by_id.get(message.session)
         if session is None:  # it may still be handed over
-            self.ended_sessions.add(message.session, link.host.name, message.cause)
+            self.ended_sessions.add(message.session, link.host.name, message.cause, message.cause not in NOT_RUN_CAUSES)
             return
         # a host that left the list and came back keeps its connections and sessions
         if session.established and session.host is not None and session.host.name == link.host.name:
@@ -1034,7 +1049,8 @@
                 link.outbox.remove(attempt)
         if session.attempt is attempt:
             session.attempt = None
-        self.ended_sessions.add(session.setup.session_id, attempt.host.name, Cause.RESET)
+        may_have_run = attempt.written and code not in NOT_RUN_CODES
+        self.ended_sessions.add(session.setup.session_id, attempt.host.name, Cause.RESET, may_have_run)
         self._feed(
             now,
             Outcome(
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -144,7 +144,7 @@
         """Serve until cancelled; reports the address as started once it listens."""
         config = self.config
         fleet = Fleet(config.platform.zones, config.platform.kinds, self.unix_time_ns() - now())
-        self.core = NodeCore(config.settings, config.platform, fleet, config.seed, config.sockets)
+        self.core = NodeCore(config.settings, config.platform, fleet, config.seed, config.sockets, config.memory_mb)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self.name_service = NameServiceClient(
--- a/copperyard/gateway/node/place.py
+++ b/copperyard/gateway/node/place.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from ...control.node.bounds import MIN_SOCKETS
+from ...control.node.bounds import MIN_MEMORY_MB, MIN_SOCKETS
 from ...interface import Settings
 from ...protocol.node.fleet import Host, HostListError, parse_known
 from ...settings import Platform, parse_platform, parse_settings
@@ -21,7 +21,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeConfig:
-    """The configuration of a node. `sockets` bounds its descriptors, `list_events` are the known host lists."""
+    """The configuration of a node. `sockets` bounds its descriptors, `memory_mb` its memory if it is not None,
+    `list_events` are the known host lists.
+    """
 
     name: str
     listen: str
@@ -32,6 +34,7 @@
     list_events: tuple[tuple[bool, tuple[Host, ...]], ...]
     settings: Settings
     platform: Platform
+    memory_mb: float | None = None
 
 
 def read_config(environ: Mapping[str, str]) -> NodeConfig:
@@ -59,6 +62,11 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets is not a number of {MIN_SOCKETS} or more: {sockets!r}")
+    memory_mb = limits.get("memory_mb")
+    if memory_mb is not None and (
+        isinstance(memory_mb, bool) or not isinstance(memory_mb, int | float) or not memory_mb >= MIN_MEMORY_MB
+    ):
+        raise ConfigError(f"limits.memory_mb is not a number of {MIN_MEMORY_MB} or more: {memory_mb!r}")
     seed = raw.get("seed", "0")
     try:
         number = int(str(seed), 16)
@@ -76,6 +84,7 @@
             tuple(events),
             parse_settings(settings),
             parse_platform(settings),
+            memory_mb,
         )
     except HostListError as error:
         raise ConfigError(str(error)) from None
--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -25,6 +25,8 @@
 from copperyard.protocol.rtsp import Connection
 from tests.control.node.helpers import LIMITS, MS, OPTIONS, answer, messages, release
 
+MEMORY_MB = 192  # the limit of the operators' example
+
 
 class GatedStream:
     def __init__(self, inner, network):
@@ -167,12 +169,12 @@
                     if one[0] == MessageKind.RELEASE and self.acknowledges:
                         back = encode(MessageKind.HEARD, bytes.fromhex(one[1]))
                     if back:
-                        back, mark, how = back.partition(b"!")
+                        end_of_connection = next((end for end in (b"!reset", b"!close") if back.endswith(end)), b"")
                         async with self.lock:
-                            await stream.send_all(back)
-                        if mark and how == b"reset":
+                            await stream.send_all(back.removesuffix(end_of_connection))
+                        if end_of_connection == b"!reset":
                             return reset(stream)
-                        if mark and how == b"close":
+                        if end_of_connection == b"!close":
                             return stream.socket.close()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -200,6 +202,12 @@
     def send(self, data):
         assert self.sock.send(data) == len(data)
 
+    async def send_all(self, data):
+        """Send, also while the socket's buffer is full."""
+        while data:
+            await trio.lowlevel.wait_writable(self.sock)
+            data = data[self.sock.send(data) :]
+
     def half_close(self):
         self.sock.shutdown(socket.SHUT_WR)
 
@@ -230,7 +238,16 @@
     host is warm after 50 ms. With `fresh`, the hosts have just started."""
 
     def __init__(
-        self, nursery, hosts=2, sockets=256, small_buffers=False, fresh=False, contract=None, extra=None, **options
+        self,
+        nursery,
+        hosts=2,
+        sockets=256,
+        memory_mb=MEMORY_MB,
+        small_buffers=False,
+        fresh=False,
+        contract=None,
+        extra=None,
+        **options,
     ):
         settings = copy.deepcopy(OPTIONS)
         settings["contract"] |= {"warmWithin": 50 * MS, **(contract or {})}
@@ -258,7 +275,7 @@
         ]
         self.config = {
             "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": sockets},
+            "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "settings": settings,
             "dns": f"127.0.0.1:{self.names.getsockname()[1]}",
             "known": {"n": 1, "events": [{"members": {"complete": True, "members": members}}]},
--- a/tests/gateway/node/test_resource_limits.py
+++ b/tests/gateway/node/test_resource_limits.py
@@ -93,6 +93,19 @@
         limit_sockets(node_config, 63)
 
 
+@pytest.mark.parametrize("memory_mb", [0, -1, True, "192", [], float("nan")])
+def test_an_invalid_limit_of_memory_is_named(memory_mb):
+    # guards against: a limit that is ignored because it cannot be read
+    with pytest.raises(ConfigError, match="limits.memory_mb is not a number of 1 or more"):
+        parse_config("n0", "127.0.0.1:0", config(limits={"sockets": 1024, "memory_mb": memory_mb}))
+
+
+@pytest.mark.parametrize(("memory_mb", "most"), [(None, 1000), (2, 256), (2.5, 320), (192, 1000), (float("inf"), 1000)])
+def test_sessions_take_half_of_the_memory_and_no_more_than_the_settings_allow(memory_mb, most):
+    # guards against: memory that grows up to the settings' bound, whatever the process may use
+    assert bounds.max_sessions(memory_mb, 1000) == most
+
+
 def test_late_truncated_old_and_mismatched_answers_of_the_name_service():
     """The known list stays in force through each of these, and the first valid answer is applied."""
 
