Node: a release on a connection that makes room for another counts as arrived

Cause, found on reading the change again: link_evicted passed a time in the past, so that every release on the closed connection was owed again and its host dialled, at the bound of connections where room is short. Callers saw nothing yet. Change: a connection closed in order by this node, on which the host was heard just before, leaves nothing owed. Measured: the test failed before (1 owed), passes now; tests/control/node and the socket tests of releases and bounds pass.

--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -718,7 +718,7 @@
         link.state = LinkState.DOWN
         link.host.links.remove(link)
         link.host.link_lost = True
-        link.host.owed.connection_ended(now - bounds.RELEASE_ARRIVAL_PERIOD, link.number, False)
+        link.host.owed.connection_closed(link.number)
         self.timers.cancel(("partial", link))
         self._remove_if_unused(link.host)
 
--- a/copperyard/control/node/owed_releases.py
+++ b/copperyard/control/node/owed_releases.py
@@ -116,6 +116,10 @@
             if may_be_lost and release.writes < bounds.MAX_RELEASE_WRITES:
                 self._keep(now, release)
 
+    def connection_closed(self, connection: int) -> None:
+        """This node has closed a connection in order on which the host was heard: what was written to it arrives."""
+        self._written.pop(connection, None)
+
     def withdraw(self, session: bytes) -> None:
         """A session is set up at the host under this id: a release that waits would end that one."""
         self._waiting.pop(session, None)
--- a/tests/control/node/test_owed_releases.py
+++ b/tests/control/node/test_owed_releases.py
@@ -39,6 +39,16 @@
     assert len(owed) == 0
 
 
+def test_a_connection_that_makes_room_for_another_host_leaves_nothing_owed():
+    # guards against: hosts that make room for each other in turn, as each owes a release to the one closed last
+    driver = CoreDriver(hosts=1)
+    viewer, link = driver.established()
+    driver.send(viewer, teardown(sid(1)))
+    assert len(link.host.owed) == 1
+    driver.core.link_evicted(driver.now, link)
+    assert len(link.host.owed) == 0
+
+
 def test_owed_releases_are_bounded_in_number_time_and_writes():
     # guards against: memory for a host that stays away, and a release written to no end
     owed = OwedReleases()
