Tests: worlds check all hosts for standing sessions but those cut off and not reached since

Cause, found on reading the tests' diff: with the cuts the check had come to leave out every host without contact; worlds without cuts had checked all hosts before, and do again. A replaced host may run a free set-up once at most.

--- a/tests/control/node/test_promises.py
+++ b/tests/control/node/test_promises.py
@@ -152,14 +152,15 @@
         for model in self.world.hosts:
             self.world.list_host(model, READY)
             model.reply = "answer"
-        # none comes up to a host where nothing is owed while the others' sessions hold all connections
+        # none comes up to a host that counts as lost while the others' sessions hold all connections
         reached = [model for model in self.world.hosts if self.world.contact(model)]
+        out_of_reach = [one for one in self.world.hosts if one.was_cut_off and one not in reached]
         self.world.advance(8 * SECOND)
         held = {session.id_text for session in self.world.core.sessions.values()}
         standing = {session for model in self.world.hosts for session in model.standing}
         open_setups = {name for name, view in self.world.promises.sessions.items() if view.status is None}
         assert held <= standing | open_setups, "kept for a session that is gone"
-        abandoned = {session for model in reached for session in model.standing} - held
+        abandoned = standing - held - {session for model in out_of_reach for session in model.standing}
         assert not abandoned, f"stands at a host, and the node has forgotten it: {abandoned}"
 
 
--- a/tests/control/node/world.py
+++ b/tests/control/node/world.py
@@ -43,7 +43,7 @@
     def __init__(self, number):
         self.number, self.state, self.reply = number, "up", "answer"
         self.links, self.standing, self.held, self.unrepeated = [], set(), {}, []
-        self.reset_at, self.on_its_way = -1 << 62, []
+        self.reset_at, self.on_its_way, self.was_cut_off = -1 << 62, [], False
 
 
 class Client:
@@ -285,7 +285,7 @@
 
     def cut_off(self, model, duration):
         """Connections stay open and silent and new ones never come up, for a while."""
-        model.state = "cut off"
+        model.state, model.was_cut_off = "cut off", True
         self.at(self.now + duration, lambda: self._heal(model))
 
     def _heal(self, model):
--- a/tests/gateway/node/test_replaced_hosts.py
+++ b/tests/gateway/node/test_replaced_hosts.py
@@ -87,7 +87,7 @@
         if cls == "paid":
             assert status == 500 and replacement.setups == []
         else:
-            assert status in (200, 500, 503) and len(replacement.setups) <= 2
+            assert status in (200, 500, 503) and replacement.setups.count(sid(1)) <= 1
         await trio.sleep(1.5)
         assert replacement.releases == [] or cls == "preview"
 
