--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -834,6 +834,8 @@
         for session in sessions:
             self._session_lost(now, session)
         host.given_up = True
+        if not host.listed:
+            host.owed.clear()
         self._owe_releases(now, host, [session.setup.session_id for session in sessions])
         for link in [one for one in host.links if one.state is LinkState.UP]:
             self._close_link(now, link)
--- a/tests/control/node/test_core.py
+++ b/tests/control/node/test_core.py
@@ -624,3 +624,16 @@
     driver.run_actions()
     driver.advance(1)
     assert sid(1) in driver.releases()
+
+
+def test_a_connection_has_a_bounded_number_of_open_set_ups_and_the_others_are_not_refused():
+    # guards against: memory and delays for all that one connection which floods set-ups can cause
+    driver = CoreDriver(connect_at_once=False)
+    flooding, other = driver.viewer(), driver.viewer()
+    for n in range(1, bounds.MAX_OPEN_SETUPS + 2):
+        driver.send(flooding, setup(sid(n)))
+    (refused,) = driver.answers(flooding)
+    assert refused.response.status == 503 and refused.response.header("Session") == sid(bounds.MAX_OPEN_SETUPS + 1)
+    assert len(flooding.open_setups) == bounds.MAX_OPEN_SETUPS
+    driver.send(other, setup(sid(0)))
+    assert driver.statuses(other) == [] and len(other.open_setups) == 1
--- a/tests/control/node/test_owed_releases.py
+++ b/tests/control/node/test_owed_releases.py
@@ -104,3 +104,14 @@
     driver.send(viewer, setup(sid(2)))
     driver.link_up(driver.dialled[1])
     assert [one[1] for one in driver.sent[driver.dialled[1]]] == [sid(1), sid(2)]
+
+
+def test_a_host_that_has_left_the_list_is_owed_nothing_once_it_counts_as_lost():
+    # guards against: releases kept for, and sent to, whatever has the address of a host that is gone
+    driver = CoreDriver(hosts=1)
+    viewer, link = driver.established()
+    driver.send(viewer, teardown(sid(1)))
+    driver.core.list_received(driver.now, 2, ())
+    driver.run_actions()
+    driver.link_down(link, reset=True)
+    assert len(link.host.owed) == 0 and not driver.core.hosts
