--- a/copperyard/control/node/core.py
+++ b/copperyard/control/node/core.py
@@ -168,16 +168,16 @@
         """
         if self._accept_until is None:
             self._accept_until = now + bounds.SHUTDOWN_ACCEPT_PERIOD
-            self.notices.shutting_down = True
-            self.notices.send_overdue(now)
+            self.notices.begin_shutdown(now)
+            self._schedule_notices(now)
             self.log_line(
                 "ending", open=sum(len(viewer.open_setups) for viewer in self.viewers), sessions=len(self.sessions)
             )
 
     @property
     def shutdown_complete(self) -> bool:
-        """Whether a shutdown was started and no session is left."""
-        return self._accept_until is not None and not self.sessions
+        """Whether a shutdown was started, no session is left, and no viewer can still be told of an end in time."""
+        return self._accept_until is not None and not self.sessions and not self.notices.delays_shutdown
 
     @property
     def pending_notices(self) -> list[bytes]:
@@ -231,8 +231,8 @@
                 self._check_host(now, subject)
             elif timer == "partial":
                 self._partial_overdue(now, subject)
-            elif timer == "notices":
-                self._send_overdue_notices(now)
+            elif timer in ("notices", "acknowledgements"):
+                self._check_notices(now)
             elif timer == "sweep":
                 self._sweep(now)
 
@@ -302,6 +302,8 @@
                 return self._close_viewer(now, viewer, event.status, event.text)
             if isinstance(event, rtsp.Request):
                 self._handle_request(now, viewer, event)
+            elif isinstance(event, rtsp.UnsolicitedResponse):
+                self._handle_response(now, viewer, event.response)
             elif isinstance(event, rtsp.Frame):
                 return self._close_viewer(now, viewer, 400, "interleaved frames are not supported")
 
@@ -319,9 +321,23 @@
         self.notices.connection_ended(now, viewer, undelivered)
         self._schedule_notices(now)
 
+    def close_may_cross(self, now: int, viewer: Viewer) -> bool:
+        """Whether a connection that its client has closed in order may turn out to be reset: what was written to it
+        last may have crossed the close.
+        """
+        return self.notices.has_recent_writes(now, viewer)
+
+    def close_was_reset(self, now: int, viewer: Viewer) -> None:
+        """What was written to a connection has crossed its close, and was not read."""
+        self.notices.close_was_reset(now, viewer)
+        self._schedule_notices(now)
+
     def outbox_written(self, now: int, viewer: Viewer, has_unsent: bool) -> None:
         """What `Viewer.take_outbox` returned was written; `has_unsent`: some of it is buffered still."""
         self.notices.written(now, viewer, has_unsent)
+        self._schedule_retry()
+        if has_unsent:
+            self._schedule_notices(now)
 
     def _close_viewer(self, now: int, viewer: Viewer, status: int, text: str) -> None:
         """Close a connection after a protocol error or a limit, with response `status` unless 0. Its open set-ups get
@@ -338,7 +354,7 @@
         """Write what was queued for a connection, but no more notices, and close it."""
         viewer.closing = True
         self._write_viewer(viewer)
-        self.notices.connection_ended(now, viewer, False)
+        self.notices.connection_closing(now, viewer)
         self._schedule_notices(now)
 
     def _write_viewer(self, viewer: Viewer) -> None:
@@ -365,6 +381,7 @@
                 self._close_viewer(now, viewer, 408, "no request received in time")
             else:
                 self._end_writing(now, viewer)
+        self._check_notices(now)
         self._log_notices(now)
         self._next_sweep = now + bounds.SWEEP_INTERVAL
         self.timers.set(("sweep", None), self._next_sweep)
@@ -389,10 +406,11 @@
             elif viewer_protocol.session_of(request) not in self.sessions_by_id:
                 raise HeaderError(454, f"{request.method} for an unknown session")
             viewer.has_requested = True
+            viewer.has_tested = viewer.has_tested or request.method == "OPTIONS"
             if viewer.was_written and not viewer.has_unsent:
                 self.notices.connection_read(now, viewer)
-            elif request.method == "OPTIONS":
-                self.notices.connection_tested(now, viewer)
+            else:
+                self.notices.connection_requested(now, viewer)
         except HeaderError as error:
             self.log_line("request not taken", viewer=viewer.number, text=str(error))
             self._respond(viewer, request, error.status)
@@ -400,6 +418,12 @@
             if viewer.errors >= bounds.MAX_VIEWER_ERRORS:  # it would go on at full speed and delay the other viewers
                 self._close_viewer(now, viewer, 0, "too many invalid requests")
 
+    def _handle_response(self, now: int, viewer: Viewer, response: rtsp.Response) -> None:
+        """A client has answered something, which is the acknowledgement of a notice if it names its session."""
+        session_id = viewer_protocol.session_of(response)
+        if session_id is not None:
+            self.notices.acknowledged(now, viewer, session_id)
+
     def _respond(self, viewer: Viewer, request: rtsp.Request, status: int) -> None:
         session = viewer_protocol.session_of(request)
         self._send_to_viewer(
@@ -485,7 +509,7 @@
         session_request = self._session_request(now, setup, cls)
         session = self._add_session(session_request.ref, setup, viewer)
         session.attempts, session.host, session.established, session.established_at = 1, host, True, now
-        self.notices.connection_read(now, viewer)
+        self.notices.connection_serves(now, viewer)
         viewer.established_sessions[session.ref] = session
         host.sessions[session.ref] = session
         self._feed(now, CarriedSession(session_request, host.server))
@@ -611,7 +635,7 @@
         while len(self.moved_viewers) > bounds.MAX_MOVED_VIEWERS:
             del self.moved_viewers[next(iter(self.moved_viewers))]
         redirect = viewer_protocol.encode_redirect(session.id_text)
-        self._post_notice(now, session, redirect, now + bounds.RELEASE_NOTICE_LIMIT)
+        self._post_notice(now, session, redirect, now + bounds.RELEASE_NOTICE_LIMIT, wants_answer=False)
         self._end_session(now, session, OutcomeCode.CANCELLED, Cause.CANCELLED, tell_host=True)
 
     def _probe(self, now: int, action: Action) -> None:
@@ -985,7 +1009,7 @@
         if session.viewer is not None:
             session.viewer.newly_established.append(session)
             session.viewer.established_sessions[session.ref] = session
-            self.notices.connection_read(now, session.viewer)
+            self.notices.connection_serves(now, session.viewer)
         self._feed(now, SessionOpened(session.ref, attempt.number, link.host.server, now - attempt.queued_at))
 
     def _released(self, now: int, link: Link, message: Message) -> None:
@@ -1099,22 +1123,30 @@
         )
         self._remove_if_unused(host)
 
-    def _post_notice(self, now: int, session: Session, data: bytes, limit: int) -> None:
-        """Have a notice sent to the viewer of a session, by `limit`."""
-        self.notices.post(now, Notice(data, limit - bounds.NOTICE_MARGIN), session.viewer)
+    def _post_notice(self, now: int, session: Session, data: bytes, limit: int, wants_answer: bool = True) -> None:
+        """Have a notice sent to the viewer of a session, by `limit`. `wants_answer`: viewers acknowledge such a one."""
+        notice = Notice(data, limit - bounds.NOTICE_MARGIN, session.setup.session_id, wants_answer)
+        self.notices.post(now, notice, session.viewer)
         self._schedule_notices(now)
 
     def _schedule_notices(self, now: int) -> None:
-        """Set the timer for overdue notices, unless it is set: each run of it looks at all that wait."""
+        """Set the timer for notices that wait, unless it is set: each run of it looks at all of them."""
         if not self.notices.waiting or ("notices", None) in self.timers:
             return
-        due = self.notices.next_due(now)
+        due = self.notices.next_check(now)
         if due is not None:
             self.timers.set(("notices", None), min(due, now + bounds.RELEASE_NOTICE_LIMIT - bounds.NOTICE_MARGIN))
 
-    def _send_overdue_notices(self, now: int) -> None:
-        self.notices.send_overdue(now)
+    def _schedule_retry(self) -> None:
+        """Set the timer for notices that are not acknowledged in time."""
+        retry_at = self.notices.next_retry
+        if retry_at is not None and ("acknowledgements", None) not in self.timers:
+            self.timers.set(("acknowledgements", None), retry_at)
+
+    def _check_notices(self, now: int) -> None:
+        self.notices.check(now)
         self._schedule_notices(now)
+        self._schedule_retry()
 
     def log_line(self, event: str, **fields: str | int) -> None:
         """Queue a line for the log."""
--- a/copperyard/control/node/sessions.py
+++ b/copperyard/control/node/sessions.py
@@ -25,7 +25,8 @@
     that have not ended, both by reference. `last_active_at` is when a request came or a notice was written last,
     `has_requested` whether a valid request ever came, `has_tested` whether one was a test. `last_read_at` is when the
     client last showed that it reads the connection, -1 for never. `has_unsent`: written data is still buffered.
-    `notices` are to be written after `outbox`; `unconfirmed` are notices that were written and may not have been read.
+    `notices` are to be written after `outbox`; `taken` are those that are being written; `unconfirmed`, by session id,
+    are those that were written and may not have been read.
     The outbox contains the answers of `newly_established` sessions.
     """
 
@@ -42,7 +43,8 @@
     last_read_at: int = -1
     errors: int = 0
     notices: deque[Notice] = field(default_factory=deque)
-    unconfirmed: list[Notice] = field(default_factory=list)
+    taken: list[Notice] = field(default_factory=list)
+    unconfirmed: dict[bytes, Notice] = field(default_factory=dict)
     newly_established: list[Session] = field(default_factory=list)
     has_unsent: bool = False
     closing: bool = False
@@ -67,7 +69,7 @@
         """Take the bytes to send, which count as sent from then on: the outbox and a limited number of notices."""
         taken = [self.notices.popleft() for _ in range(min(len(self.notices), MAX_NOTICES_PER_WRITE))]
         data = bytes(self.outbox) + b"".join(notice.data for notice in taken)
-        self.unconfirmed += taken
+        self.taken += taken
         self.outbox.clear()
         self.newly_established.clear()
         self.was_written = True
--- a/copperyard/gateway/node/daemon.py
+++ b/copperyard/gateway/node/daemon.py
@@ -217,7 +217,7 @@
 
     def _evict_viewer(self, viewer: Viewer) -> None:
         """Close a client's connection at once; it must have no open set-ups and no unread data."""
-        self.core.viewer_disconnected(now(), viewer)
+        self.core.viewer_disconnected(now(), viewer, undelivered=not viewer.is_read)
         writer = self._viewer_writers.pop(viewer, None)
         if writer is not None:
             writer.stream.close()
@@ -512,20 +512,38 @@
                 with self._read_scopes[viewer]:
                     await self._read_viewer(viewer, writer.stream)
                 if viewer.closing:
-                    with trio.move_on_after(bounds.LAST_ANSWER_TIMEOUT / 1e9):
+                    with trio.move_on_after(bounds.LAST_ANSWER_TIMEOUT / 1e9) as timeout:
                         await self._deliver_last_answer(writer)
+                    reset = timeout.cancelled_caught  # it has not shown that it reads to the end
         except CONNECTION_ERRORS:
             reset = True
         finally:
-            self._viewer_writers.pop(viewer, None)
             del self._read_scopes[viewer]
             undelivered = reset or writer is not None and writer.has_undelivered
-            if writer is not None:
-                writer.stream.close()
             self.core.viewer_disconnected(now(), viewer, undelivered)
             self.perform_actions()
-            if not self._viewer_writers:
-                self._shutdown_progress.set()
+            try:
+                if writer is not None and not undelivered and viewer in self._viewer_writers:
+                    await self._watch_close(viewer, writer.stream)
+            finally:
+                if writer is not None:
+                    writer.stream.close()
+                self._viewer_writers.pop(viewer, None)
+                if not self._viewer_writers:
+                    self._shutdown_progress.set()
+
+    async def _watch_close(self, viewer: Viewer, stream: Stream) -> None:
+        """After the client's orderly close, see whether what was written last has crossed it: the client's system
+        answers that with a reset.
+        """
+        if not self.core.close_may_cross(now(), viewer):
+            return
+        await trio.sleep(bounds.CLOSE_CROSSING_PERIOD / 1e9)
+        try:
+            stream.send_now(b"")  # fails once the connection was reset
+        except OSError:
+            self.core.close_was_reset(now(), viewer)
+            self.perform_actions()
 
     async def _read_viewer(self, viewer: Viewer, stream: Stream) -> None:
         while not viewer.closing:
--- a/tests/control/node/helpers.py
+++ b/tests/control/node/helpers.py
@@ -96,6 +96,11 @@
     ).encode()
 
 
+def heard(session):
+    """A viewer's acknowledgement of the release of its session."""
+    return f"RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode()
+
+
 def answer(session, size=0):
     return encode(
         MessageKind.ANSWER, bytes.fromhex(session), ((Param.DESCRIPTION, b"d:" + session.encode() + bytes(size)),)
