--- a/copperyard/lab/sites/processes.py
+++ b/copperyard/lab/sites/processes.py
@@ -1,13 +1,13 @@
 """The gateways of a site as processes of the real program, `copperyard serve`.
 
 Each has settings of its own, which differ in addresses only. Processes are started, paused, resumed, killed and
-restarted, with their log store as it was, with an older copy of it, or without it.
+restarted, with their log store as it was, with an older copy of it, or without it. They end with this process, however
+that ends: through `watchdog`, and a paused one as the system hangs up a stopped process group whose parent is gone.
 """
 
 from __future__ import annotations
 
 import json
-import os
 import shutil
 import signal
 import subprocess
@@ -99,7 +99,7 @@
         words = [
             sys.executable,
             "-m",
-            "copperyard.cli.main",
+            "copperyard.lab.sites.watchdog",
             "serve",
             str(one.settings),
             "--name",
@@ -109,7 +109,7 @@
         ]
         with open(log, "wb") as out:
             one.process = subprocess.Popen(
-                words, stdout=subprocess.PIPE, stderr=out, env={**os.environ}, start_new_session=True
+                words, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=out, process_group=0
             )
         assert one.process.stdout is not None
         return one.process.stdout
@@ -135,6 +135,7 @@
         self.signal(name, signal.SIGCONT)
         self.signal(name, signal.SIGKILL)
         one.process.wait()
+        _close_pipes(one.process)
         one.process, one.stopped = None, None
 
     def pause(self, name: str) -> None:
@@ -189,8 +190,8 @@
                 one.process.send_signal(signal.SIGCONT)
                 one.process.send_signal(signal.SIGKILL)
                 one.process.wait()
-            if one.process is not None and one.process.stdout is not None:
-                one.process.stdout.close()
+            if one.process is not None:
+                _close_pipes(one.process)
 
     def lines(self) -> list[tuple[str, dict[str, object]]]:
         """All log lines, as (gateway, line)."""
@@ -203,3 +204,9 @@
                     except ValueError:
                         found.append((name, {"event": "not a line", "text": line.decode("utf-8", "replace")[:300]}))
         return found
+
+
+def _close_pipes(process: subprocess.Popen[bytes]) -> None:
+    for pipe in (process.stdin, process.stdout):
+        if pipe is not None:
+            pipe.close()
--- a/copperyard/lab/sites/scale.py
+++ b/copperyard/lab/sites/scale.py
@@ -24,7 +24,7 @@
 from datetime import datetime
 from functools import partial
 from pathlib import Path
-from typing import IO, Any
+from typing import Any
 
 import trio
 from lxml import etree
@@ -35,7 +35,7 @@
 from .faults import SiteScenario
 from .hollow import plan_digest, resident_kb
 from .layout import Layout, ScaleOptions, zone_regions
-from .processes import GatewayProcess, GatewayProcesses
+from .processes import GatewayProcesses
 from .run_statistics import (
     DeathReport,
     Outage,
@@ -62,45 +62,13 @@
 
 
 class RealProcesses(GatewayProcesses):
-    """Real gateways at the addresses of the settings, where the hollow ones find them.
-
-    They end with this process, through `watchdog`.
-    """
+    """Real gateways at the addresses of the settings, where the hollow ones find them."""
 
     def set_address(self, one: etree._Element, name: str, other: str) -> None:
         """Sets the relay's address for other real gateways; all else stays as the settings have it."""
         if other in self.all and other != name:
             one.set("reach", self.relay.addresses[name, other])
 
-    def _spawn(self, one: GatewayProcess) -> IO[bytes]:
-        log = self.folder / f"{one.name}.{one.starts}.log"
-        one.log.append(log)
-        one.starts += 1
-        words = [
-            sys.executable,
-            "-m",
-            "copperyard.lab.sites.watchdog",
-            "serve",
-            str(one.settings),
-            "--name",
-            one.name,
-            "--drain",
-            "2s",
-        ]
-        with open(log, "wb") as out:
-            one.process = subprocess.Popen(
-                words, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=out, process_group=0
-            )
-        assert one.process.stdout is not None
-        return one.process.stdout
-
-    def end(self) -> None:
-        """Ends all processes and closes their standard input."""
-        super().end()
-        for one in self.all.values():
-            if one.process is not None and one.process.stdin is not None:
-                one.process.stdin.close()
-
 
 class HollowProcess:
     """One process of hollow gateways, and what it has reported."""
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -34,6 +34,7 @@
 from copperyard.lab.sites.scale_faults import ScaleFault, default_faults, read_scale_faults
 from copperyard.lab.sites.site_settings import AddressBlock, add_gateways, generate_site, with_addresses
 from copperyard.protocol.peers import Hello, encode_hello
+from tests.lab.processes import descendants, is_running
 
 ROOT = Path(__file__).parents[2]
 SITES = ROOT / "examples" / "sites.xml"
@@ -558,27 +559,6 @@
     assert set(last["bytes_per_s"]) == {"median", "p99", "leader", "relay"} and last["cpu_ms_per_s"]["leader"] > 0
 
 
-def descendants(pid):
-    """All descendants of a process."""
-    found = []
-    for place in Path("/proc").iterdir():
-        if place.name.isdigit():
-            try:
-                parent = int((place / "stat").read_text().rpartition(")")[2].split()[1])
-            except (OSError, IndexError):
-                continue
-            if parent == pid:
-                found += [int(place.name), *descendants(int(place.name))]
-    return found
-
-
-def is_running(pid):
-    try:
-        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
-    except OSError:
-        return False
-
-
 def begin(tmp_path, *words, body=""):
     """Starts a run of 12 gateways; returns its process and descendants once all gateways run."""
     place = tmp_path / "faults.xml"
