--- a/copperyard/control/node/notices.py
+++ b/copperyard/control/node/notices.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -271,9 +271,9 @@
     def _overdue(self, now: int) -> list[Notice]:
         return [notice for notice in self.waiting if self._shutdown_at is not None or notice.due <= now]
 
-    def _send(self, viewer: Viewer, notices: Iterable[Notice]) -> None:
+    def _send(self, viewer: Viewer, notices: Collection[Notice]) -> None:
         """Assign notices to a connection, no more than it can take at once; the rest follows when it has."""
-        if not viewer.is_open or viewer.has_unsent:
+        if not notices or not viewer.is_open or viewer.has_unsent:
             return
         room = bounds.MAX_NOTICES_PER_WRITE - len(viewer.notices)
         unwritten = (one for one in notices if viewer.unconfirmed.get(one.session_id) is not one)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -136,24 +136,24 @@
     assert min(left for _, left in world.sent) >= 150 * MS
 
 
-def test_a_session_that_cannot_be_answered_any_more_is_refused_at_once():
-    # guards against: a viewer that is kept waiting though nothing more will be tried for it
+def hold_session():
+    """A front that holds a session, as it knows no host: the front, and the timer of the session."""
     controller = Controller(SETTINGS, 1)
     controller.handle(START, api.ServerList(api.ListKind.FULL, ()))
-    timer = of_type(
-        controller.handle(START, api.Request(1, 0, 4, START + PATIENCE, 7, 0, 3, 60 * SECOND)), api.SetTimer
-    )[0]
+    held = controller.handle(START, api.Request(1, 0, 4, START + PATIENCE, 7, 0, 3, 60 * SECOND))
+    return controller, of_type(held, api.SetTimer)[0]
+
+
+def test_a_session_that_cannot_be_answered_any_more_is_refused_at_once():
+    # guards against: a viewer that is kept waiting though nothing more will be tried for it
+    controller, timer = hold_session()
     assert START + PATIENCE - 400 * MS < timer.at < START + PATIENCE - controller.setup_time
     assert isinstance(controller.handle(timer.at, api.TimerDue(timer.token))[0], api.Refuse)
 
 
 def test_a_session_is_held_on_if_set_ups_have_become_shorter():
     # guards against: a refusal by a set-up time that is no longer true
-    controller = Controller(SETTINGS, 1)
-    controller.handle(START, api.ServerList(api.ListKind.FULL, ()))
-    timer = of_type(
-        controller.handle(START, api.Request(1, 0, 4, START + PATIENCE, 7, 0, 3, 60 * SECOND)), api.SetTimer
-    )[0]
+    controller, timer = hold_session()
     controller.setup_time /= 2
     (later,) = of_type(controller.handle(timer.at, api.TimerDue(timer.token)), api.SetTimer)
     assert later.at > timer.at
