--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -441,15 +441,35 @@
 
 def run_with_node(body, **more):
     """Run `body(harness)` with a node that has started in this process."""
+    run_side_by_side([body], **more)
 
-    async def main():
+
+def run_side_by_side(bodies, **more):
+    """Run each of some bodies with a node of its own, all at once: most of their time is waiting."""
+
+    async def one(body):
         async with trio.open_nursery() as nursery:
             harness = NodeHarness(nursery, **more)
             await harness.start()
             await body(harness)
             nursery.cancel_scope.cancel()
 
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for body in bodies:
+                nursery.start_soon(one, body)
+
     trio.run(main)
 
 
-__all__ = ["Client", "Gated", "Host", "NodeHarness", "answer", "run_with_process", "release", "run_with_node"]
+__all__ = [
+    "Client",
+    "Gated",
+    "Host",
+    "NodeHarness",
+    "answer",
+    "run_side_by_side",
+    "run_with_process",
+    "release",
+    "run_with_node",
+]
--- a/tests/gateway/node/test_viewers_told.py
+++ b/tests/gateway/node/test_viewers_told.py
@@ -4,6 +4,8 @@
 
 import signal
 import time
+from functools import partial
+from itertools import product
 
 import pytest
 import trio
@@ -12,7 +14,7 @@
 from copperyard.interface import Move
 from copperyard.protocol.node.messages import Cause
 from tests.control.node.helpers import PING, answer, release, setup, sid
-from tests.gateway.node.sockets import run_with_node, run_with_process
+from tests.gateway.node.sockets import run_side_by_side, run_with_node, run_with_process
 from tests.gateway.node.viewers import LOSS_LIMIT_S, RELEASE_LIMIT_S, ReadingViewer, assert_told_once
 
 HAND_OVER = "home:0;copies:1;top:1;viewer:00;at:s-0"
@@ -85,13 +87,11 @@
     await harness.until(lambda: not harness.node.core.viewers)
 
 
-@pytest.mark.parametrize("by_hand_over", [False, True])
 @pytest.mark.parametrize("count", [1, 20])
-@pytest.mark.parametrize("way", LEAVES)
 @pytest.mark.parametrize("ends", ENDS)
-def test_an_end_is_told_on_connections_that_have_asked_once(ends, way, count, by_hand_over):
+def test_an_end_is_told_on_connections_that_have_asked_once(ends, count):
     # guards against: the end of a session told on none of the open connections, as the front has tested none of them
-    async def body(harness):
+    async def body(way, by_hand_over, harness):
         viewers, sessions = await begin(harness, count, by_hand_over)
         await leave(harness, viewers, way)
         others = newcomers(harness, 5)
@@ -99,16 +99,14 @@
         since, limit = time.monotonic(), await ends(harness, sessions)
         await assert_told_once(others, sessions, since, limit)
 
-    run_with_node(body, hosts=1)
+    run_side_by_side([partial(body, *one) for one in product(LEAVES, [False, True])], hosts=1)
 
 
-@pytest.mark.parametrize(("count", "by_hand_over"), [(1, False), (20, False), (5, True)])
-@pytest.mark.parametrize("way", LEAVES)
 @pytest.mark.parametrize("ends", [released, cut, moved])
 @pytest.mark.parametrize("comes_after", [0.3, 2.0])
-def test_an_end_is_told_on_connections_that_are_newer_than_it(ends, way, count, by_hand_over, comes_after):
+def test_an_end_is_told_on_connections_that_are_newer_than_it(ends, comes_after):
     # guards against: an end that stays untold, as nobody was there when it was due, or the newcomer has asked once only
-    async def body(harness):
+    async def body(way, count, by_hand_over, harness):
         viewers, sessions = await begin(harness, count, by_hand_over)
         await leave(harness, viewers, way)
         since, limit = time.monotonic(), await ends(harness, sessions)
@@ -117,7 +115,8 @@
         others = newcomers(harness, 3)
         await assert_told_once(others, sessions, since, limit)
 
-    run_with_node(body, hosts=1)
+    some = [(1, False), (20, False), (5, True)]
+    run_side_by_side([partial(body, way, *sessions) for way, sessions in product(LEAVES, some)], hosts=1)
 
 
 @pytest.mark.parametrize("by_hand_over", [False, True])
