--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -93,22 +93,27 @@
     def __init__(self, name, small_buffers):
         self.name, self.got, self.setup_reply, self.reads = name, [], answer, trio.Event()
         self.reads.set()
-        self.port, self.acknowledges, self.accepted = 0, False, 0
-        self.accept_again()
+        self.acknowledges, self.accepted = False, 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.port, self.reserved = self.listener.getsockname()[1], None
         if small_buffers:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
         self.streams, self.forgotten, self.lock = [], set(), trio.Lock()
 
     def accept_again(self):
         """Listen, after `refuse` at the same address."""
-        self.listener = socket.create_server(("127.0.0.1", self.port))
-        self.listener.setblocking(False)
-        self.port = self.listener.getsockname()[1]
+        self.listener, self.reserved = self.reserved, None
+        self.listener.listen()
 
     def refuse(self):
-        """Refuse further connections."""
+        """Refuse further connections. The port stays bound, as another test could be given it meanwhile."""
         trio.lowlevel.notify_closing(self.listener)
         self.listener.close()
+        self.reserved = socket.socket()
+        self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reserved.bind(("127.0.0.1", self.port))
+        self.reserved.setblocking(False)
 
     def reset_all(self):
         """Reset all connections."""
--- a/tests/gateway/node/test_replaced_hosts.py
+++ b/tests/gateway/node/test_replaced_hosts.py
@@ -1,7 +1,5 @@
 """Another host's process comes up at the address of one that has gone: neither is taken for the other."""
 
-import socket
-
 import pytest
 import trio
 
@@ -16,10 +14,9 @@
 
     def __init__(self, name, gone):
         super().__init__(name, False)
-        self.refuse()
-        self.port = gone.port
+        self.listener.close()
+        self.port, self.reserved, gone.reserved = gone.port, gone.reserved, None
         self.accept_again()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
 
 def tell(harness, serial, host):
