--- a/tests/gateway/node/sockets.py
+++ b/tests/gateway/node/sockets.py
@@ -103,6 +103,7 @@
 
     def accept_again(self):
         """Listen, after `refuse` at the same address."""
+        assert self.reserved is not None
         self.listener, self.reserved = self.reserved, None
         self.listener.listen()
 
