--- a/tests/control/node/promises.py
+++ b/tests/control/node/promises.py
@@ -11,6 +11,7 @@
 LOSS_LIMIT = 8 * SECOND + SLACK  # "within 8 s of its end where no release could be sent"
 DRAIN_GRACE = 250 * MS + SLACK  # the settings' drainGrace
 ANSWER_LIMIT = 500 * MS + SLACK  # "Up to half a second after its time it only earns nothing; later it is lost"
+MAX_TOLD_UNREAD = 2  # open connections that are not read and were told of the same end
 RETURN_TIME = 600 * MS  # in which a viewer that came back has shown that it reads, and been told
 
 
@@ -130,6 +131,8 @@
         if client in view.told_to_non_readers:
             self._break("told twice", session)
         view.told_to_non_readers.append(client)
+        if sum(one in self._open for one in view.told_to_non_readers) > MAX_TOLD_UNREAD:
+            self._break("told to one connection after the other", session)
 
     def closed_by_node(self, client):
         """The node has closed a viewer's connection. "A gateway may close a connection on which no set-up is open"."""
