--- a/tests/control/node/test_promises.py
+++ b/tests/control/node/test_promises.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
@@ -247,3 +248,15 @@
 def test_the_promises_are_kept_where_all_connections_are_read_and_none_is_tested_all_the_time():
     # guards against: viewers that are told of ends only on connections that the front tests (review/7)
     assert explore(range(400), only_readers=True) is None
+
+
+@pytest.mark.parametrize(("seed", "cuts"), [(725, True), (2206, False), (2354, False)])
+def test_no_session_stands_on_in_worlds_found_by_a_longer_search(seed, cuts):
+    # guards against: sessions that stand on at a host, though they are over for their viewers and this node
+    assert explore([seed], cuts=cuts) is None
+
+
+@pytest.mark.parametrize(("seed", "forgets"), [(1832, False), (2072, True)])
+def test_an_end_is_told_in_worlds_found_by_a_longer_search(seed, forgets):
+    # guards against: an end that two clients that read nothing keep for over 60 s, after which it is dropped
+    assert explore([seed], forgets=forgets) is None
